--- a/include/bluebellpass/backend.h
+++ b/include/bluebellpass/backend.h
@@ -24,6 +24,9 @@
   std::string idempotency_key;  ///< empty for idempotent work
   std::string prompt;           ///< prompt of an engine, JSON body of a plain service
   std::int64_t max_tokens = 0;  ///< longest output; 0 for plain services
+  /// Asked when the connection stands, just before the first byte leaves. When it returns false
+  /// nothing is sent and the run fails as kWithdrawn.
+  std::function<bool()> may_send;
 };
 
 /// What a run has used. Times are measured by the driver.
@@ -37,9 +40,10 @@
 
 /// Why a run ended without an answer.
 enum class RunFailure {
-  kNotSent,  ///< no byte of the request left; the run did not take place
-  kRefused,  ///< the backend server said that it did not run the request
-  kLost,     ///< the backend server may have run the request
+  kNotSent,    ///< the connection failed and no byte of the request left
+  kWithdrawn,  ///< may_send returned false and no byte of the request left
+  kRefused,    ///< the backend server said that it did not run the request
+  kLost,       ///< the backend server may have run the request
 };
 
 /// Receives the progress of a run. Called on the event loop, never inside Start or Resume.
--- a/include/bluebellpass/peer.h
+++ b/include/bluebellpass/peer.h
@@ -25,6 +25,7 @@
 struct Reservation {
   RequestId id;
   PoolName pool;
+  Region region;
   TierName tier;
   OrganisationId organisation;
   Tokens prompt_tokens;
@@ -80,6 +81,7 @@
   kCancelled,
   kFailed,       ///< the run failed, the backend server lives
   kBackendLost,  ///< the backend server died or fell silent during the run
+  kUnreachable,  ///< the backend server could not be reached; nothing was sent
 };
 
 /// Home to owner: a granted run is over.
@@ -138,6 +140,7 @@
   bool has_error = false;
   ErrorKind kind = ErrorKind::kInternal;
   std::string message;
+  std::string field;
 };
 /// Any to home: the reader of an answer has gone.
 struct ForwardCancelMessage {
--- /dev/null
+++ b/src/backend/service-driver.cc
@@ -0,0 +1,110 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include "bluebellpass/backend.h"
+#include "bluebellpass/timer.h"
+#include "kernel/http-client.h"
+#include "kernel/registry.h"
+
+/// Driver of plain services: one JSON call with one JSON reply, never repeated.
+
+namespace bluebellpass {
+namespace {
+
+constexpr Millis kConnectTimeout{500};
+constexpr Millis kReplyTimeout{30'000};
+constexpr std::size_t kMaxErrorBytes = 500;
+
+class ServiceRun : public BackendRun {
+ public:
+  ServiceRun(DriverContext context, RunListener& listener)
+      : m_listener(listener), m_timers(*context.timers), m_started(context.timers->Now()) {}
+
+  void Start(HttpClient& client, const RunRequest& request) {
+    HttpCallRequest call;
+    call.address = request.address;
+    call.method = "POST";
+    call.path = "/v1/calls";
+    call.headers = {{"content-type", "application/json"}, {"x-request-id", request.id.Text()}};
+    if (!request.idempotency_key.empty()) call.headers["idempotency-key"] = request.idempotency_key;
+    call.body = request.prompt;
+    call.connect_timeout = kConnectTimeout;
+    call.idle_timeout = kReplyTimeout;
+    call.may_send = request.may_send;
+    HttpCallEvents events;
+    events.on_head = [this](int status, const HttpHeaders&) { m_status = status; };
+    // The reply is held back until it is whole, since it cannot be resumed.
+    events.on_data = [this](std::string_view bytes) { m_body.append(bytes); };
+    events.on_end = [this](HttpEnd end, const std::string& message) { OnEnd(end, message); };
+    m_call = client.Start(std::move(call), std::move(events));
+  }
+
+  // A call to a plain service cannot be withdrawn once it has been sent.
+  void Cancel() override {}
+
+ private:
+  void OnEnd(HttpEnd end, const std::string& message) {
+    switch (end) {
+      case HttpEnd::kConnectFailed:
+        return m_listener.OnFailure(RunFailure::kNotSent, message);
+      case HttpEnd::kWithdrawn:
+        return m_listener.OnFailure(RunFailure::kWithdrawn, message);
+      case HttpEnd::kFailed:
+        return m_listener.OnFailure(RunFailure::kLost, "the service's reply was lost: " + message);
+      case HttpEnd::kComplete:
+        return OnReply();
+    }
+  }
+
+  void OnReply() {
+    if (m_status == 200) {
+      RunUsage usage;
+      usage.total = std::chrono::duration_cast<Millis>(m_timers.Now() - m_started);
+      usage.first_token = usage.total;
+      m_listener.OnStarted("");
+      m_listener.OnData(m_body);
+      m_listener.OnEnd(usage);
+      return;
+    }
+    const std::string text = "the service answered " + std::to_string(m_status) + ": " +
+                             m_body.substr(0, std::min(m_body.size(), kMaxErrorBytes));
+    const bool is_refusal = (m_status >= 400 && m_status < 500) || m_status == 503;
+    m_listener.OnFailure(is_refusal ? RunFailure::kRefused : RunFailure::kLost, text);
+  }
+
+  RunListener& m_listener;
+  TimerService& m_timers;
+  TimePoint m_started;
+  std::unique_ptr<HttpCall> m_call;
+  int m_status = 0;
+  std::string m_body;
+};
+
+class ServiceDriver : public BackendDriver {
+ public:
+  explicit ServiceDriver(DriverContext context) : m_context(context) {}
+
+  std::unique_ptr<BackendRun> Start(const RunRequest& request, RunListener& listener) override {
+    auto run = std::make_unique<ServiceRun>(m_context, listener);
+    run->Start(*m_context.http, request);
+    return run;
+  }
+
+  std::unique_ptr<BackendRun> Resume(const Address& /*address*/, const std::string& /*stream_id*/,
+                                     std::size_t /*offset*/, RunListener& listener) override {
+    m_context.timers->After(Millis{0}, [&listener] {
+      listener.OnFailure(RunFailure::kLost, "replies of plain services cannot be resumed");
+    });
+    return std::make_unique<ServiceRun>(m_context, listener);
+  }
+
+ private:
+  DriverContext m_context;
+};
+
+const Registration<BackendDriver, DriverContext> kRegistration(
+    "service", [](DriverContext context) { return std::make_unique<ServiceDriver>(context); });
+
+}  // namespace
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/cli/timeline.cc
@@ -0,0 +1,184 @@
+#include "timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <tuple>
+
+#include "kernel/http-client.h"
+#include "kernel/loop.h"
+
+namespace bluebellpass {
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+
+constexpr unsigned kCounterBits = 16;
+constexpr Millis kTurn{50};
+
+std::string WallTime(HybridTime time) {
+  const auto millis = static_cast<std::int64_t>(time >> kCounterBits);
+  const std::time_t seconds = millis / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 40> text{};
+  const std::size_t length = std::strftime(text.data(), text.size(), "%H:%M:%S", &parts);
+  std::snprintf(text.data() + length, text.size() - length, ".%03d",
+                static_cast<int>(millis % 1000));
+  return text.data();
+}
+
+/// Reads all recorded events of one instance, page by page.
+class Collector {
+ public:
+  Collector(HttpClient& client, Address address)
+      : m_client(client), m_address(std::move(address)) {}
+
+  void Begin() { RequestPage(); }
+  bool IsDone() const { return m_is_done; }
+  bool HasFailed() const { return m_has_failed; }
+  const Address& Where() const { return m_address; }
+  std::vector<TimelineEvent> TakeEvents() { return std::move(m_events); }
+
+ private:
+  void RequestPage() {
+    HttpCallRequest call;
+    call.address = m_address;
+    call.path = "/v1/events?after=" + std::to_string(m_after);
+    m_client.Fetch(std::move(call), [this](const Result<HttpReply>& result) { OnPage(result); });
+  }
+
+  void OnPage(const Result<HttpReply>& result) {
+    if (!IsOk(result) || std::get<HttpReply>(result).status != 200) {
+      m_has_failed = m_is_done = true;
+      return;
+    }
+    std::vector<TimelineEvent> page = ParseEvents(std::get<HttpReply>(result).body);
+    if (page.empty()) {
+      m_is_done = true;
+      return;
+    }
+    m_after = page.back().number;
+    std::move(page.begin(), page.end(), std::back_inserter(m_events));
+    RequestPage();
+  }
+
+  HttpClient& m_client;
+  Address m_address;
+  std::uint64_t m_after = 0;
+  std::vector<TimelineEvent> m_events;
+  bool m_is_done = false;
+  bool m_has_failed = false;
+};
+
+bool IsEndOfRequest(const std::string& name) {
+  return name == "completed" || name == "not_run" || name == "unknown";
+}
+
+ordered_json TraceEvent(const TimelineEvent& event, const std::string& phase) {
+  const auto micros = static_cast<std::int64_t>(event.time >> kCounterBits) * 1000 +
+                      static_cast<std::int64_t>(event.time & 0xffffU) % 1000;
+  return {{"name", event.name},    {"ph", phase},           {"ts", micros},
+          {"pid", event.instance}, {"tid", event.instance}, {"args", json::parse(event.json)}};
+}
+
+}  // namespace
+
+std::vector<TimelineEvent> ParseEvents(std::string_view lines) {
+  std::vector<TimelineEvent> events;
+  while (!lines.empty()) {
+    const std::size_t end = lines.find('\n');
+    const std::string_view line = lines.substr(0, end);
+    lines = end == std::string_view::npos ? std::string_view() : lines.substr(end + 1);
+    const json object = json::parse(line, nullptr, false);
+    if (!object.is_object() || !object.contains("time")) continue;
+    try {
+      TimelineEvent event;
+      event.time = object.at("time").get<HybridTime>();
+      event.number = object.at("n").get<std::uint64_t>();
+      event.instance = object.at("instance").get<std::string>();
+      event.name = object.at("name").get<std::string>();
+      event.request = object.value("request", "");
+      event.json = std::string(line);
+      events.push_back(std::move(event));
+    } catch (const json::exception&) {
+      continue;
+    }
+  }
+  return events;
+}
+
+void SortTimeline(std::vector<TimelineEvent>& events) {
+  std::sort(events.begin(), events.end(), [](const TimelineEvent& a, const TimelineEvent& b) {
+    return std::tie(a.time, a.instance, a.number) < std::tie(b.time, b.instance, b.number);
+  });
+}
+
+std::string FormatTimeline(const std::vector<TimelineEvent>& events) {
+  static const std::set<std::string> kShown = {"n",     "time", "instance",
+                                               "event", "name", "severity"};
+  std::string text;
+  for (const TimelineEvent& event : events) {
+    text += WallTime(event.time) + "  " + event.instance + "  " + event.name;
+    const ordered_json object = ordered_json::parse(event.json);
+    for (const auto& [name, value] : object.items()) {
+      if (!kShown.contains(name)) text += "  " + name + "=" + value.dump();
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+std::string FormatChromeTrace(const std::vector<TimelineEvent>& events) {
+  ordered_json list = ordered_json::array();
+  for (const TimelineEvent& event : events) {
+    ordered_json instant = TraceEvent(event, "i");
+    instant["s"] = "t";
+    list.push_back(std::move(instant));
+    if (event.request.empty()) continue;
+    const bool is_end = IsEndOfRequest(event.name);
+    if (!is_end && event.name != "received") continue;
+    ordered_json span = TraceEvent(event, is_end ? "e" : "b");
+    span["name"] = "request";
+    span["cat"] = "request";
+    span["id"] = event.request;
+    list.push_back(std::move(span));
+  }
+  return ordered_json{{"traceEvents", list}}.dump(1) + "\n";
+}
+
+int RunTimeline(const TimelineOptions& options) {
+  Loop loop;
+  HttpClient client(loop);
+  std::vector<Collector> collectors;
+  collectors.reserve(options.entries.size());
+  for (const Address& entry : options.entries) collectors.emplace_back(client, entry);
+  for (Collector& collector : collectors) collector.Begin();
+  const auto is_done = [](const Collector& collector) { return collector.IsDone(); };
+  while (!std::all_of(collectors.begin(), collectors.end(), is_done)) loop.RunOnce(kTurn);
+
+  std::vector<TimelineEvent> events;
+  std::size_t failed = 0;
+  for (Collector& collector : collectors) {
+    if (collector.HasFailed()) {
+      std::cerr << "no answer from " << collector.Where().Text() << '\n';
+      ++failed;
+    }
+    std::vector<TimelineEvent> part = collector.TakeEvents();
+    std::move(part.begin(), part.end(), std::back_inserter(events));
+  }
+  if (!options.request.empty()) {
+    std::erase_if(events, [&](const auto& event) { return event.request != options.request; });
+  }
+  SortTimeline(events);
+  std::cout << (options.is_chrome ? FormatChromeTrace(events) : FormatTimeline(events));
+  if (failed == collectors.size()) return 1;
+  return failed == 0 ? 0 : 3;
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/forwarder.cc
@@ -0,0 +1,191 @@
+#include "forwarder.h"
+
+#include <algorithm>
+
+#include "bluebellpass/event.h"
+
+namespace bluebellpass {
+namespace {
+
+// How long a link that is being opened is waited for before the home counts as out of reach.
+constexpr Millis kLinkWait{1'500};
+constexpr Millis kRetryPeriod{50};
+
+Error Unreachable(const InstanceId& home) {
+  return {ErrorKind::kHomeUnreachable,
+          "the request's home " + home.Text() + " cannot be reached; the request may have run", ""};
+}
+
+}  // namespace
+
+/// Sends an answer of this home to the instance that asked for it.
+class Forwarder::PeerSink : public AnswerSink {
+ public:
+  PeerSink(PeerNetwork& network, InstanceId reader, std::uint64_t exchange)
+      : m_network(network), m_reader(std::move(reader)), m_exchange(exchange) {}
+
+  void OnHead(const AnswerHead& head) override {
+    Send(AnswerHeadMessage{m_exchange, 200, head.backend.Text(), head.resume_token});
+  }
+
+  void OnData(std::uint64_t offset, std::string_view bytes) override {
+    Send(AnswerDataMessage{m_exchange, offset, std::string(bytes)});
+  }
+
+  void OnEnd(const AnswerEnd& end) override {
+    AnswerEndMessage message;
+    message.exchange = m_exchange;
+    message.outcome = end.outcome;
+    message.length = end.length;
+    message.has_error = end.error.has_value();
+    if (end.error) {
+      message.kind = end.error->kind;
+      message.message = end.error->message;
+      message.field = end.error->field;
+    }
+    Send(message);
+    m_is_open = false;
+  }
+
+  bool IsOpen() const override { return m_is_open; }
+  void Close() { m_is_open = false; }
+  bool HasEnded() const { return !m_is_open; }
+
+ private:
+  void Send(const PeerMessage& message) {
+    if (m_is_open && !m_network.Send(m_reader, message)) m_is_open = false;
+  }
+
+  PeerNetwork& m_network;
+  InstanceId m_reader;
+  std::uint64_t m_exchange;
+  bool m_is_open = true;
+};
+
+Forwarder::Forwarder(Loop& loop, PeerNetwork& network, HomeTask& home)
+    : m_loop(loop), m_network(network), m_home(home), m_retry(loop) {
+  m_home.SetRemoteFetch(
+      [this](const ParsedRequestId& id, std::uint64_t offset, std::shared_ptr<AnswerSink> sink) {
+        Forward(id, "", offset, std::move(sink));
+      });
+}
+
+Forwarder::~Forwarder() = default;
+
+bool Forwarder::TrySend(const ParsedRequestId& id, const std::string& body, std::uint64_t offset,
+                        const std::shared_ptr<AnswerSink>& sink) {
+  const std::uint64_t exchange = m_next_exchange;
+  const RequestId request(id.ticket.Text() + "." + id.nonce);
+  if (!m_network.Send(id.ticket.instance, ForwardMessage{exchange, request, offset, body})) {
+    return false;
+  }
+  ++m_next_exchange;
+  m_outgoing.emplace(exchange, Outgoing{id.ticket.instance, request, sink});
+  LogEvent(EventId::kForwarded, {{"request", request.Text()}, {"home", id.ticket.instance.Text()}});
+  return true;
+}
+
+void Forwarder::Forward(const ParsedRequestId& id, std::string body, std::uint64_t offset,
+                        std::shared_ptr<AnswerSink> sink) {
+  if (TrySend(id, body, offset, sink)) return;
+  m_pending.push_back({id, std::move(body), offset, std::move(sink), m_loop.Now() + kLinkWait});
+  m_retry.Start(kRetryPeriod, [this] { RetryPending(); });
+}
+
+void Forwarder::RetryPending() {
+  std::vector<Pending> pending = std::exchange(m_pending, {});
+  for (Pending& item : pending) {
+    if (!item.sink->IsOpen() || TrySend(item.id, item.body, item.offset, item.sink)) continue;
+    if (item.until <= m_loop.Now()) {
+      item.sink->OnEnd(EndWith(Unreachable(item.id.ticket.instance)));
+    } else {
+      m_pending.push_back(std::move(item));
+    }
+  }
+  if (!m_pending.empty()) m_retry.Start(kRetryPeriod, [this] { RetryPending(); });
+}
+
+void Forwarder::Cancel(const AnswerSink* sink) {
+  std::erase_if(m_pending, [sink](const Pending& item) { return item.sink.get() == sink; });
+  std::erase_if(m_outgoing, [&](const auto& item) {
+    if (item.second.sink.get() != sink) return false;
+    m_network.Send(item.second.home, ForwardCancelMessage{item.first});
+    return true;
+  });
+}
+
+bool Forwarder::IsIdle() const {
+  const bool is_serving = std::any_of(m_serving.begin(), m_serving.end(),
+                                      [](const auto& item) { return item.second->IsOpen(); });
+  return m_outgoing.empty() && m_pending.empty() && !is_serving;
+}
+
+Forwarder::Outgoing* Forwarder::FindOutgoing(std::uint64_t exchange) {
+  const auto found = m_outgoing.find(exchange);
+  return found == m_outgoing.end() ? nullptr : &found->second;
+}
+
+void Forwarder::OnPeerMessage(const InstanceId& from, const PeerMessage& message) {
+  if (const auto* forward = std::get_if<ForwardMessage>(&message)) {
+    ServeForward(from, *forward);
+  } else if (const auto* cancel = std::get_if<ForwardCancelMessage>(&message)) {
+    const auto found = m_serving.find({from, cancel->exchange});
+    if (found == m_serving.end()) return;
+    m_home.Detach(found->second.get());
+    m_serving.erase(found);
+  } else {
+    OnAnswer(message);
+  }
+}
+
+void Forwarder::ServeForward(const InstanceId& from, const ForwardMessage& message) {
+  std::erase_if(m_serving, [](const auto& item) { return item.second->HasEnded(); });
+  auto sink = std::make_shared<PeerSink>(m_network, from, message.exchange);
+  const Result<ParsedRequestId> id = ParseRequestId(message.id.Text());
+  if (!IsOk(id)) return sink->OnEnd(EndWith(ErrorOf(id)));
+  m_serving[{from, message.exchange}] = sink;
+  if (message.body.empty()) {
+    m_home.Fetch(std::get<ParsedRequestId>(id), message.offset, sink);
+  } else {
+    m_home.Submit(std::get<ParsedRequestId>(id), message.body, sink);
+  }
+}
+
+void Forwarder::OnAnswer(const PeerMessage& message) {
+  if (const auto* head = std::get_if<AnswerHeadMessage>(&message)) {
+    if (Outgoing* out = FindOutgoing(head->exchange)) {
+      out->sink->OnHead({out->id, BackendId(head->backend), head->resume_token});
+    }
+  } else if (const auto* data = std::get_if<AnswerDataMessage>(&message)) {
+    if (Outgoing* out = FindOutgoing(data->exchange)) out->sink->OnData(data->offset, data->bytes);
+  } else if (const auto* end = std::get_if<AnswerEndMessage>(&message)) {
+    Outgoing* out = FindOutgoing(end->exchange);
+    if (out == nullptr) return;
+    AnswerEnd answer{end->outcome, end->length, std::nullopt};
+    if (end->has_error) answer.error = Error{end->kind, end->message, end->field};
+    const auto sink = out->sink;
+    m_outgoing.erase(end->exchange);
+    sink->OnEnd(answer);
+  }
+}
+
+void Forwarder::OnLinkUp(const InstanceId& /*peer*/, Incarnation /*incarnation*/) {
+  RetryPending();
+}
+
+void Forwarder::OnLinkDown(const InstanceId& peer) {
+  for (auto& [key, sink] : m_serving) {
+    if (key.first != peer) continue;
+    sink->Close();
+    m_home.Detach(sink.get());
+  }
+  std::vector<std::shared_ptr<AnswerSink>> lost;
+  std::erase_if(m_outgoing, [&](const auto& item) {
+    if (item.second.home != peer) return false;
+    lost.push_back(item.second.sink);
+    return true;
+  });
+  for (const auto& sink : lost) sink->OnEnd(EndWith(Unreachable(peer)));
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/forwarder.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "answer.h"
+#include "bluebellpass/peer.h"
+#include "home-task.h"
+#include "kernel/loop.h"
+
+namespace bluebellpass {
+
+/// Passes requests to their homes on other instances and relays the answers, in both directions.
+class Forwarder : public PeerListener {
+ public:
+  Forwarder(Loop& loop, PeerNetwork& network, HomeTask& home);
+  ~Forwarder() override;
+
+  /// Sends a request, or a fetch, to the home that its id names.
+  /// @param body JSON of the submission; empty for a fetch from the offset
+  /// The sink ends with kHomeUnreachable when the home cannot be reached or the link breaks.
+  void Forward(const ParsedRequestId& id, std::string body, std::uint64_t offset,
+               std::shared_ptr<AnswerSink> sink);
+
+  /// Tells the home that a reader has gone.
+  void Cancel(const AnswerSink* sink);
+
+  /// @return true when no answer is being relayed
+  bool IsIdle() const;
+
+  void OnPeerMessage(const InstanceId& from, const PeerMessage& message) override;
+  void OnLinkUp(const InstanceId& peer, Incarnation incarnation) override;
+  void OnLinkDown(const InstanceId& peer) override;
+  void OnMembersChanged() override {}
+  void OnPeerStatus(const InstanceId& /*peer*/, const PeerStatus& /*status*/) override {}
+
+ private:
+  struct Outgoing {
+    InstanceId home;
+    RequestId id;
+    std::shared_ptr<AnswerSink> sink;
+  };
+  /// Waits for a link that is being opened.
+  struct Pending {
+    ParsedRequestId id;
+    std::string body;
+    std::uint64_t offset;
+    std::shared_ptr<AnswerSink> sink;
+    TimePoint until;
+  };
+  class PeerSink;
+
+  bool TrySend(const ParsedRequestId& id, const std::string& body, std::uint64_t offset,
+               const std::shared_ptr<AnswerSink>& sink);
+  void RetryPending();
+  void ServeForward(const InstanceId& from, const ForwardMessage& message);
+  void OnAnswer(const PeerMessage& message);
+  Outgoing* FindOutgoing(std::uint64_t exchange);
+
+  Loop& m_loop;
+  PeerNetwork& m_network;
+  HomeTask& m_home;
+  std::uint64_t m_next_exchange = 1;
+  std::unordered_map<std::uint64_t, Outgoing> m_outgoing;
+  std::vector<Pending> m_pending;
+  /// Answers being sent to other instances, by reader and exchange.
+  std::map<std::pair<InstanceId, std::uint64_t>, std::shared_ptr<PeerSink>> m_serving;
+  Timer m_retry;
+};
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/home-dispatch.cc
@@ -0,0 +1,383 @@
+#include <algorithm>
+#include <set>
+
+#include "bluebellpass/event.h"
+#include "home-request.h"
+#include "home-task.h"
+#include "kernel/registry.h"
+#include "peer/ownership.h"
+
+namespace bluebellpass {
+namespace {
+
+// Keeps a home and an owner whose configurations differ for a moment from exchanging the same grant
+// in a tight loop.
+constexpr Millis kReserveAgainDelay{50};
+
+std::int64_t MillisSince(TimePoint start, TimePoint now) {
+  return std::chrono::duration_cast<Millis>(now - start).count();
+}
+
+/// @return the region whose cell should run a pool's work: the home's own if it can
+Region ChooseRegion(const ClusterConfig& config, const PoolName& pool, const Region& own) {
+  std::set<Region> active;
+  std::set<Region> all;
+  for (const BackendConfig& backend : config.backends) {
+    if (backend.pool != pool) continue;
+    all.insert(backend.region);
+    if (backend.state == BackendState::kActive) active.insert(backend.region);
+  }
+  if (active.contains(own)) return own;
+  if (!active.empty()) return *active.begin();
+  return all.empty() || all.contains(own) ? own : *all.begin();
+}
+
+}  // namespace
+
+CellId HomeTask::CellOf(const Request& request) const {
+  const ClusterConfig& config = m_context.config.Current().config;
+  const PoolName& pool = request.submission.pool;
+  return {pool, ChooseRegion(config, pool, m_context.network.Self().region)};
+}
+
+Reservation HomeTask::ReservationOf(const Request& request) const {
+  const Submission& submission = request.submission;
+  Reservation reservation;
+  reservation.id = request.id;
+  reservation.pool = submission.pool;
+  reservation.region = CellOf(request).region;
+  reservation.tier = submission.tier;
+  reservation.organisation = submission.organisation;
+  reservation.prompt_tokens = submission.prompt_tokens;
+  reservation.max_output_tokens = submission.max_tokens;
+  reservation.prefix = submission.prefix;
+  reservation.content = submission.content;
+  reservation.bytes = static_cast<std::int64_t>(submission.prompt.size());
+  reservation.remaining =
+      std::chrono::duration_cast<Millis>(request.deadline - m_context.loop.Now());
+  return reservation;
+}
+
+void HomeTask::Reserve(Request& request) {
+  if (IsBelowFloor(request.submission.pool, request.submission.rank)) {
+    return Refuse(request, ErrorKind::kOverloaded, "more urgent work has the whole capacity");
+  }
+  const CellId cell = CellOf(request);
+  const auto owner = FindOwner(cell, m_context.network.Members());
+  if (!owner) return;
+  const auto synced = m_owners.find(cell);
+  if (synced == m_owners.end() || synced->second != *owner) {
+    // The sync carries this reservation as well.
+    SyncCell(cell);
+    return;
+  }
+  request.reserved_cell = cell;
+  if (m_context.network.Send(*owner, ReserveMessage{ReservationOf(request)})) {
+    LogEvent(EventId::kReserved, {{"request", request.id.Text()}, {"owner", owner->Text()}});
+  } else {
+    m_owners.erase(cell);
+  }
+}
+
+void HomeTask::CancelReservation(Request& request) {
+  if (!request.reserved_cell) return;
+  const auto owner = m_owners.find(*request.reserved_cell);
+  if (owner != m_owners.end()) {
+    m_context.network.Send(owner->second, CancelMessage{*request.reserved_cell, request.id});
+  }
+}
+
+void HomeTask::SyncCell(const CellId& cell) {
+  const auto owner = FindOwner(cell, m_context.network.Members());
+  if (!owner) return;
+  SyncMessage sync;
+  sync.cell = cell;
+  for (const auto& [id, request] : m_requests) {
+    if (request->phase == Phase::kWaiting && CellOf(*request) == cell) {
+      request->reserved_cell = cell;
+      sync.waiting.push_back(ReservationOf(*request));
+    } else if (request->phase == Phase::kDispatched && request->grant.cell == cell) {
+      sync.running.push_back({request->id, request->grant.grant, request->grant.backend,
+                              request->granted_tokens, request->submission.content});
+    }
+  }
+  if (m_context.network.Send(*owner, sync)) {
+    m_owners[cell] = *owner;
+  } else {
+    // Tried again when the link is up.
+    m_owners.erase(cell);
+  }
+}
+
+void HomeTask::SyncChangedOwners() {
+  std::set<CellId> cells;
+  for (const auto& [cell, owner] : m_owners) cells.insert(cell);
+  for (const auto& [id, request] : m_requests) {
+    if (request->phase == Phase::kWaiting) cells.insert(CellOf(*request));
+    if (request->phase == Phase::kDispatched) cells.insert(request->grant.cell);
+  }
+  const std::vector<Member> members = m_context.network.Members();
+  for (const CellId& cell : cells) {
+    const auto owner = FindOwner(cell, members);
+    const auto synced = m_owners.find(cell);
+    const bool is_synced = owner && synced != m_owners.end() && synced->second == *owner;
+    if (!is_synced) SyncCell(cell);
+  }
+}
+
+void HomeTask::OnLinkUp(const InstanceId& peer, Incarnation /*incarnation*/) {
+  // The peer has dropped what it held of this home with the last link.
+  std::erase_if(m_owners, [&](const auto& item) { return item.second == peer; });
+  SyncChangedOwners();
+}
+
+void HomeTask::OnLinkDown(const InstanceId& peer) {
+  std::erase_if(m_owners, [&](const auto& item) { return item.second == peer; });
+}
+
+void HomeTask::OnMembersChanged() { SyncChangedOwners(); }
+
+void HomeTask::OnPeerStatus(const InstanceId& /*peer*/, const PeerStatus& /*status*/) {}
+
+void HomeTask::OnConfigApplied(const VersionedConfig& /*config*/) {
+  std::vector<Request*> moved;
+  // Backend servers that come or leave may move a pool's work to the cell of another region.
+  for (auto& [id, request] : m_requests) {
+    if (request->phase != Phase::kWaiting || request->reserved_cell == CellOf(*request)) continue;
+    CancelReservation(*request);
+    moved.push_back(request.get());
+  }
+  for (Request* request : moved) Reserve(*request);
+  SyncChangedOwners();
+}
+
+void HomeTask::OnPeerMessage(const InstanceId& from, const PeerMessage& message) {
+  if (const auto* grant = std::get_if<GrantMessage>(&message)) {
+    OnGrant(from, *grant);
+  } else if (const auto* refuse = std::get_if<RefuseMessage>(&message)) {
+    OnRefuse(*refuse);
+  } else if (const auto* ask = std::get_if<FloorAskMessage>(&message)) {
+    OnFloorAsk(from, *ask);
+  }
+}
+
+std::optional<std::string> HomeTask::GrantFault(const Request& request,
+                                                const GrantMessage& grant) const {
+  if (request.phase != Phase::kWaiting) return "the request no longer waits";
+  if (!m_context.config.IsFresh()) return "the configuration is not confirmed";
+  const auto* backend = m_context.config.Current().config.FindBackend(grant.backend);
+  if (backend == nullptr || backend->pool != request.submission.pool) {
+    return "the backend server does not belong to the pool";
+  }
+  if (backend->state != BackendState::kActive) return "the backend server is leaving";
+  if (request.deadline <= m_context.loop.Now()) return "the deadline has passed";
+  return std::nullopt;
+}
+
+void HomeTask::ReturnGrant(const InstanceId& owner, const GrantMessage& grant) {
+  ReleaseMessage release;
+  release.cell = grant.cell;
+  release.id = grant.id;
+  release.grant = grant.grant;
+  release.backend = grant.backend;
+  release.reason = ReleaseReason::kNotUsed;
+  m_context.network.Send(owner, release);
+}
+
+void HomeTask::OnGrant(const InstanceId& from, const GrantMessage& grant) {
+  m_context.loop.CheckPause();
+  Request* request = Find(grant.id);
+  if (request == nullptr) return ReturnGrant(from, grant);
+  if (const auto fault = GrantFault(*request, grant)) {
+    LogEvent(EventId::kGrantReturned,
+             {{"request", grant.id.Text()}, {"backend", grant.backend.Text()}, {"reason", *fault}});
+    ReturnGrant(from, grant);
+    if (request->phase == Phase::kWaiting) {
+      request->retry_timer.Start(kReserveAgainDelay, [this, id = grant.id] {
+        Request* waiting = Find(id);
+        if (waiting != nullptr && waiting->phase == Phase::kWaiting) Reserve(*waiting);
+      });
+    }
+    return;
+  }
+  request->grant_owner = from;
+  request->grant = grant;
+  request->granted_tokens = request->submission.prompt_tokens + request->submission.max_tokens;
+  Dispatch(*request, *m_context.config.Current().config.FindBackend(grant.backend));
+}
+
+BackendDriver* HomeTask::DriverFor(const std::string& kind) {
+  auto& driver = m_drivers[kind];
+  if (!driver)
+    driver = Registry<BackendDriver, DriverContext>::Instance().Create(kind, m_context.drivers);
+  return driver.get();
+}
+
+bool HomeTask::MaySend(const RequestId& id, const BackendId& backend) {
+  // The process may have been paused since the grant was checked.
+  m_context.loop.CheckPause();
+  const Request* request = Find(id);
+  if (request == nullptr || request->phase != Phase::kDispatched) return false;
+  if (!m_context.config.IsFresh()) return false;
+  const auto* target = m_context.config.Current().config.FindBackend(backend);
+  const bool is_active = target != nullptr && target->state == BackendState::kActive;
+  return is_active && std::chrono::steady_clock::now() < request->deadline;
+}
+
+void HomeTask::Dispatch(Request& request, const BackendConfig& backend) {
+  BackendDriver* driver = DriverFor(backend.kind);
+  if (driver == nullptr) {
+    ReturnGrant(request.grant_owner, request.grant);
+    return Refuse(request, ErrorKind::kInternal, "no driver for this kind of backend server");
+  }
+  request.phase = Phase::kDispatched;
+  LogEvent(EventId::kDispatched,
+           {{"request", request.id.Text()},
+            {"backend", backend.id.Text()},
+            {"grant", static_cast<std::int64_t>(request.grant.grant)},
+            {"tier", request.submission.tier.Text()},
+            {"waited_ms", MillisSince(request.received, m_context.loop.Now())}});
+  m_context.metrics.Observe(
+      "wait_ms", static_cast<double>(MillisSince(request.received, m_context.loop.Now())),
+      "tier=\"" + request.submission.tier.Text() + "\"");
+  RunRequest run;
+  run.id = request.id;
+  run.address = backend.address;
+  run.pool = request.submission.pool.Text();
+  run.organisation = request.submission.organisation.Text();
+  run.idempotency_key = request.submission.idempotency_key;
+  run.prompt = request.submission.prompt;
+  run.max_tokens = request.submission.max_tokens.Value();
+  run.may_send = [this, id = request.id, target = backend.id] { return MaySend(id, target); };
+  request.listener = std::make_unique<Listener>(*this, request.id);
+  request.run = driver->Start(run, *request.listener);
+}
+
+void HomeTask::OnRefuse(const RefuseMessage& refuse) {
+  Request* request = Find(refuse.id);
+  if (request == nullptr || request->phase != Phase::kWaiting) return;
+  Refuse(*request, refuse.kind, "refused by the owner of the cell");
+}
+
+void HomeTask::OnFloorAsk(const InstanceId& from, const FloorAskMessage& ask) {
+  m_floors[ask.pool].push_back({ask.rank, m_context.loop.Now() + ask.hold});
+  std::vector<Request*> below;
+  for (auto& [id, request] : m_requests) {
+    const Submission& submission = request->submission;
+    if (request->IsUndispatched() && submission.pool == ask.pool && submission.rank > ask.rank) {
+      below.push_back(request.get());
+    }
+  }
+  for (Request* request : below) {
+    LogEvent(EventId::kShed, {{"request", request->id.Text()},
+                              {"tier", request->submission.tier.Text()},
+                              {"pool", ask.pool.Text()}});
+    Refuse(*request, ErrorKind::kOverloaded, "more urgent work has the whole capacity");
+  }
+  LogEvent(EventId::kFloorPromised, {{"pool", ask.pool.Text()},
+                                     {"rank", std::int64_t{ask.rank.Value()}},
+                                     {"to", from.Text()},
+                                     {"shed", static_cast<std::int64_t>(below.size())}});
+  m_context.network.Send(from, FloorAckMessage{ask.round, ask.pool, ask.rank});
+}
+
+bool HomeTask::IsBelowFloor(const PoolName& pool, TierRank rank) const {
+  const auto floors = m_floors.find(pool);
+  if (floors == m_floors.end()) return false;
+  const TimePoint now = m_context.loop.Now();
+  return std::any_of(floors->second.begin(), floors->second.end(),
+                     [&](const Floor& floor) { return rank > floor.rank && now < floor.until; });
+}
+
+void HomeTask::ReleaseGrant(Request& request, ReleaseReason reason, const RunUsage& usage) {
+  ReleaseMessage release;
+  release.cell = request.grant.cell;
+  release.id = request.id;
+  release.grant = request.grant.grant;
+  release.backend = request.grant.backend;
+  release.reason = reason;
+  release.prompt_tokens = Tokens(usage.prompt_tokens);
+  release.cached_tokens = Tokens(usage.cached_tokens);
+  release.output_tokens = Tokens(usage.output_tokens);
+  release.first_token = usage.first_token;
+  release.total = usage.total;
+  release.content = request.submission.content;
+  release.prefix = request.submission.prefix;
+  // The owner may have changed since the grant; the present one counts the run since its sync.
+  const auto owner = m_owners.find(request.grant.cell);
+  m_context.network.Send(owner != m_owners.end() ? owner->second : request.grant_owner, release);
+}
+
+void HomeTask::OnRunStarted(Request& request, const std::string& stream_id) {
+  AnswerHead head;
+  head.id = request.id;
+  head.backend = request.grant.backend;
+  if (!stream_id.empty()) head.resume_token = m_context.tokens.Sign({head.backend, stream_id});
+  request.head = std::move(head);
+  Pump(request);
+}
+
+void HomeTask::OnRunData(Request& request, std::string_view bytes) {
+  if (request.answer.empty()) {
+    LogEvent(EventId::kFirstByte, {{"request", request.id.Text()}});
+    m_context.metrics.Observe(
+        "first_byte_ms", static_cast<double>(MillisSince(request.received, m_context.loop.Now())),
+        "tier=\"" + request.submission.tier.Text() + "\"");
+  }
+  request.answer.append(bytes);
+  Pump(request);
+}
+
+void HomeTask::OnRunEnd(Request& request, const RunUsage& usage) {
+  ReleaseGrant(request, ReleaseReason::kCompleted, usage);
+  EndAs(request, AnswerEnd{Outcome::kCompleted, request.answer.size(), std::nullopt});
+}
+
+void HomeTask::OnRunFailure(Request& request, RunFailure failure, const std::string& message) {
+  switch (failure) {
+    case RunFailure::kNotSent:
+    case RunFailure::kWithdrawn: {
+      const bool is_withdrawn = failure == RunFailure::kWithdrawn;
+      ReleaseGrant(request, is_withdrawn ? ReleaseReason::kNotUsed : ReleaseReason::kUnreachable,
+                   {});
+      m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
+                           listener = std::shared_ptr<Listener>(std::move(request.listener))] {});
+      request.phase = Phase::kWaiting;
+      if (request.deadline <= m_context.loop.Now()) return OnDeadline(request.id);
+      request.retry_timer.Start(kReserveAgainDelay, [this, id = request.id] {
+        Request* waiting = Find(id);
+        if (waiting != nullptr && waiting->phase == Phase::kWaiting) Reserve(*waiting);
+      });
+      return;
+    }
+    case RunFailure::kRefused: {
+      ReleaseGrant(request, ReleaseReason::kFailed, {});
+      const bool has_claim = request.has_claim;
+      EndAs(request, EndWith({ErrorKind::kBackendRefused, message, ""}));
+      if (has_claim) m_context.ledger.Void(request.Key(), request.id);
+      return;
+    }
+    case RunFailure::kLost:
+      ReleaseGrant(request, ReleaseReason::kBackendLost, {});
+      EndAs(request, EndWith({ErrorKind::kBackendLost, message, ""}));
+      return;
+  }
+}
+
+void HomeTask::Listener::OnStarted(const std::string& stream_id) {
+  if (Request* request = m_home.Find(m_id)) m_home.OnRunStarted(*request, stream_id);
+}
+
+void HomeTask::Listener::OnData(std::string_view bytes) {
+  if (Request* request = m_home.Find(m_id)) m_home.OnRunData(*request, bytes);
+}
+
+void HomeTask::Listener::OnEnd(const RunUsage& usage) {
+  if (Request* request = m_home.Find(m_id)) m_home.OnRunEnd(*request, usage);
+}
+
+void HomeTask::Listener::OnFailure(RunFailure failure, const std::string& message) {
+  if (Request* request = m_home.Find(m_id)) m_home.OnRunFailure(*request, failure, message);
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/home-request.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "home-task.h"
+
+namespace bluebellpass {
+
+/// Passes a run's progress to the home task, which finds the request by its id.
+class HomeTask::Listener : public RunListener {
+ public:
+  Listener(HomeTask& home, RequestId id) : m_home(home), m_id(std::move(id)) {}
+
+  void OnStarted(const std::string& stream_id) override;
+  void OnData(std::string_view bytes) override;
+  void OnEnd(const RunUsage& usage) override;
+  void OnFailure(RunFailure failure, const std::string& message) override;
+
+ private:
+  HomeTask& m_home;
+  RequestId m_id;
+};
+
+/// One request and its answer.
+struct HomeTask::Request {
+  explicit Request(TimerService& timers) : deadline_timer(timers), retry_timer(timers) {}
+
+  RequestId id;
+  std::uint64_t ticket_issued_s = 0;
+  Submission submission;
+  Phase phase = Phase::kWaiting;
+  bool is_detachable = true;
+  bool has_claim = false;  ///< a claim was begun and not voided
+  TimePoint received;
+  TimePoint deadline;
+  TimePoint ended;
+  Timer deadline_timer;
+  Timer retry_timer;  ///< asks for another grant after one was returned
+
+  // Dispatch.
+  std::optional<CellId> reserved_cell;  ///< where the last reservation was placed
+  InstanceId grant_owner;
+  GrantMessage grant;
+  Tokens granted_tokens;
+  std::unique_ptr<Listener> listener;
+  std::unique_ptr<BackendRun> run;
+
+  // Answer.
+  std::optional<AnswerHead> head;
+  std::string answer;
+  std::optional<AnswerEnd> end;
+  bool is_answer_dropped = false;
+  std::vector<Reader> readers;
+  std::optional<RequestId> redirect;  ///< the request that holds the idempotency key
+
+  bool IsUndispatched() const { return phase == Phase::kClaiming || phase == Phase::kWaiting; }
+  ClaimKey Key() const { return {submission.organisation, submission.idempotency_key}; }
+};
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/home-task.cc
@@ -0,0 +1,391 @@
+#include "home-task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bluebellpass/event.h"
+#include "home-request.h"
+
+namespace bluebellpass {
+namespace {
+
+constexpr Millis kExpiryPeriod{1'000};
+// Time for a caller whose connection broke to come back for its answer.
+constexpr Millis kAnswerKeptLeast{60'000};
+constexpr std::size_t kMaxRefusals = 1'000;
+// Bounds what is handed to a sink at once, so that a slow reader holds no second copy of an answer.
+constexpr std::size_t kFeedBytes = 64U << 10U;
+
+std::int64_t MillisSince(TimePoint start, TimePoint now) {
+  return std::chrono::duration_cast<Millis>(now - start).count();
+}
+
+}  // namespace
+
+HomeTask::HomeTask(HomeContext context)
+    : m_context(context), m_started(context.loop.Now()), m_expiry(context.loop) {
+  m_expiry.StartPeriodic(kExpiryPeriod, [this] { Expire(); });
+}
+
+HomeTask::~HomeTask() = default;
+
+Ticket HomeTask::IssueTicket() const {
+  const auto uptime =
+      std::chrono::duration_cast<std::chrono::seconds>(m_context.loop.Now() - m_started);
+  const InstanceInfo& self = m_context.network.Self();
+  return {self.id, self.incarnation, static_cast<std::uint64_t>(uptime.count())};
+}
+
+HomeTask::Request* HomeTask::Find(const RequestId& id) {
+  const auto found = m_requests.find(id);
+  return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+std::optional<Error> HomeTask::CheckTicket(const Ticket& ticket) const {
+  const Ticket now = IssueTicket();
+  if (ticket.instance != now.instance || ticket.incarnation != now.incarnation) {
+    return Error{ErrorKind::kHomeUnreachable, "the instance that issued the ticket has restarted",
+                 "bluebellpass-request-id"};
+  }
+  if (ticket.issued_s > now.issued_s + 1) {
+    return Error{ErrorKind::kBadRequestId, "the ticket was never issued",
+                 "bluebellpass-request-id"};
+  }
+  if (ticket.issued_s + kTicketValiditySeconds < now.issued_s) {
+    return Error{ErrorKind::kTicketExpired, "the ticket has expired; the request may have run",
+                 "bluebellpass-request-id"};
+  }
+  return std::nullopt;
+}
+
+void HomeTask::Submit(const ParsedRequestId& id, std::string_view body,
+                      std::shared_ptr<AnswerSink> sink, bool is_detachable) {
+  const RequestId request_id(id.ticket.Text() + "." + id.nonce);
+  if (Request* known = Find(request_id)) {
+    LogEvent(EventId::kDuplicate, {{"request", request_id.Text()}});
+    Attach(*known, std::move(sink), 0);
+    return;
+  }
+  if (const auto error = CheckTicket(id.ticket)) {
+    sink->OnEnd(EndWith(*error));
+    return;
+  }
+  auto owned = std::make_unique<Request>(m_context.loop);
+  Request& request = *owned;
+  request.id = request_id;
+  request.ticket_issued_s = id.ticket.issued_s;
+  request.is_detachable = is_detachable;
+  request.received = m_context.loop.Now();
+  request.deadline = request.received;
+  m_requests.emplace(request_id, std::move(owned));
+  Attach(request, std::move(sink), 0);
+  Accept(request, body);
+}
+
+void HomeTask::Accept(Request& request, std::string_view body) {
+  // A refusal is recorded under the id as well: once told "not run", the id is never run.
+  if (m_is_stopping) {
+    return Refuse(request, ErrorKind::kStopping, "the instance is stopping; use another one");
+  }
+  Result<Submission> parsed = ParseSubmission(body, m_context.config.Current().config);
+  if (!IsOk(parsed)) return EndAs(request, EndWith(ErrorOf(parsed)));
+  request.submission = std::get<Submission>(std::move(parsed));
+  const Submission& submission = request.submission;
+  request.deadline = request.received + submission.deadline;
+  LogEvent(EventId::kReceived,
+           {{"request", request.id.Text()},
+            {"organisation", submission.organisation.Text()},
+            {"tier", submission.tier.Text()},
+            {"pool", submission.pool.Text()},
+            {"tokens", submission.prompt_tokens.Value() + submission.max_tokens.Value()},
+            {"idempotent", std::int64_t{submission.is_idempotent}}});
+  if (IsBelowFloor(submission.pool, submission.rank)) {
+    return Refuse(request, ErrorKind::kOverloaded, "more urgent work has the whole capacity");
+  }
+  request.deadline_timer.Start(submission.deadline, [this, id = request.id] { OnDeadline(id); });
+  if (submission.is_idempotent) {
+    request.phase = Phase::kWaiting;
+    Reserve(request);
+  } else {
+    BeginClaim(request);
+  }
+}
+
+void HomeTask::BeginClaim(Request& request) {
+  request.phase = Phase::kClaiming;
+  request.has_claim = true;
+  m_context.ledger.Claim(
+      request.Key(), request.id,
+      [this, id = request.id](const ClaimOutcome& outcome) { OnClaim(id, outcome); });
+}
+
+void HomeTask::OnClaim(const RequestId& id, const ClaimOutcome& outcome) {
+  Request* request = Find(id);
+  if (request == nullptr || request->phase != Phase::kClaiming) return;
+  if (const auto* taken = std::get_if<ClaimTaken>(&outcome)) {
+    request->has_claim = false;
+    Redirect(*request, taken->holder);
+    return;
+  }
+  request->phase = Phase::kWaiting;
+  Reserve(*request);
+}
+
+void HomeTask::Redirect(Request& request, const RequestId& holder) {
+  request.phase = Phase::kRedirected;
+  request.redirect = holder;
+  request.ended = m_context.loop.Now();
+  request.deadline_timer.Stop();
+  std::vector<Reader> readers = std::exchange(request.readers, {});
+  for (Reader& reader : readers) Attach(request, std::move(reader.sink), reader.next);
+}
+
+void HomeTask::OnDeadline(const RequestId& id) {
+  Request* request = Find(id);
+  if (request == nullptr || !request->IsUndispatched()) return;
+  Refuse(*request, ErrorKind::kDeadlineExceeded, "the deadline passed before dispatch");
+}
+
+void HomeTask::Refuse(Request& request, ErrorKind kind, const std::string& message) {
+  EndAs(request, EndWith(Error{kind, message, ""}));
+}
+
+void HomeTask::EndAs(Request& request, AnswerEnd end) {
+  if (request.phase == Phase::kEnded) return;
+  const bool was_dispatched = request.phase == Phase::kDispatched;
+  if (request.phase == Phase::kWaiting) CancelReservation(request);
+  if (!was_dispatched && request.has_claim) {
+    m_context.ledger.Void(request.Key(), request.id);
+    request.has_claim = false;
+  }
+  request.phase = Phase::kEnded;
+  request.ended = m_context.loop.Now();
+  request.deadline_timer.Stop();
+  request.retry_timer.Stop();
+  // The run may be calling at this moment, so it is destroyed in a later turn.
+  if (request.run) {
+    m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
+                         listener = std::shared_ptr<Listener>(std::move(request.listener))] {});
+  }
+  const std::string error = end.error ? std::string(AnswerFor(end.error->kind).name) : "";
+  m_context.metrics.Count("requests_total",
+                          "tier=\"" + request.submission.tier.Text() + "\",outcome=\"" +
+                              std::string(OutcomeName(end.outcome)) + "\",error=\"" + error + "\"");
+  EventId event = EventId::kCompleted;
+  if (end.outcome == Outcome::kNotRun) event = EventId::kNotRun;
+  if (end.outcome == Outcome::kUnknown) event = EventId::kUnknown;
+  LogEvent(event, {{"request", request.id.Text()},
+                   {"tier", request.submission.tier.Text()},
+                   {"pool", request.submission.pool.Text()},
+                   {"error", error},
+                   {"ms", MillisSince(request.received, request.ended)}});
+  request.end = std::move(end);
+  if (request.end->outcome == Outcome::kNotRun) {
+    m_refusals.push_back({RowOf(request), request.ended});
+    if (m_refusals.size() > kMaxRefusals) m_refusals.pop_front();
+  }
+  Pump(request);
+}
+
+void HomeTask::Fetch(const ParsedRequestId& id, std::uint64_t offset,
+                     std::shared_ptr<AnswerSink> sink) {
+  const RequestId request_id(id.ticket.Text() + "." + id.nonce);
+  if (Request* known = Find(request_id)) return Attach(*known, std::move(sink), offset);
+  if (const auto error = CheckTicket(id.ticket)) return sink->OnEnd(EndWith(*error));
+  sink->OnEnd(EndWith({ErrorKind::kNotFound, "no request with this id has been received", "id"}));
+}
+
+void HomeTask::Attach(Request& request, std::shared_ptr<AnswerSink> sink, std::uint64_t offset) {
+  if (request.redirect) {
+    const Result<ParsedRequestId> holder = ParseRequestId(request.redirect->Text());
+    if (!IsOk(holder)) {
+      return sink->OnEnd(
+          EndWith({ErrorKind::kKeyInUse, "the idempotency key is in use", "idempotency_key"}));
+    }
+    const auto& id = std::get<ParsedRequestId>(holder);
+    const InstanceInfo& self = m_context.network.Self();
+    if (id.ticket.instance == self.id && id.ticket.incarnation == self.incarnation) {
+      return Fetch(id, offset, std::move(sink));
+    }
+    if (m_remote_fetch) return m_remote_fetch(id, offset, std::move(sink));
+    return sink->OnEnd(EndWith({ErrorKind::kHomeUnreachable,
+                                "the request that holds the idempotency key is out of reach", ""}));
+  }
+  if (request.is_answer_dropped) {
+    return sink->OnEnd(EndWith({ErrorKind::kAnswerExpired, "the answer is kept no longer", "id"}));
+  }
+  if (offset > request.answer.size() && request.end) {
+    return sink->OnEnd(
+        EndWith({ErrorKind::kBadRequest, "offset is beyond the end of the answer", "offset"}));
+  }
+  m_read_by[sink.get()] = request.id;
+  request.readers.push_back({std::move(sink), offset, false});
+  Pump(request);
+}
+
+void HomeTask::Pump(Request& request) {
+  // Feeding may end in a callback that adds or withdraws readers, hence the index.
+  for (std::size_t i = 0; i < request.readers.size(); ++i) Feed(request, request.readers[i]);
+  std::erase_if(request.readers, [](const Reader& reader) { return reader.sink == nullptr; });
+}
+
+void HomeTask::Feed(Request& request, Reader& reader) {
+  if (!reader.sink) return;
+  if (!reader.sink->IsOpen()) return Drop(reader);
+  if (!reader.has_head && request.head) {
+    reader.has_head = true;
+    reader.sink->OnHead(*request.head);
+  }
+  while (reader.next < request.answer.size()) {
+    if (!reader.sink->IsReady()) return;
+    const std::string_view rest = std::string_view(request.answer).substr(reader.next, kFeedBytes);
+    reader.sink->OnData(reader.next, rest);
+    reader.next += rest.size();
+  }
+  if (!request.end) return;
+  AnswerEnd end = *request.end;
+  end.length = request.answer.size();
+  const auto sink = reader.sink;
+  Drop(reader);
+  sink->OnEnd(end);
+}
+
+void HomeTask::Drop(Reader& reader) {
+  m_read_by.erase(reader.sink.get());
+  reader.sink = nullptr;
+}
+
+HomeTask::Request* HomeTask::FindReadBy(const AnswerSink* sink) {
+  const auto found = m_read_by.find(sink);
+  return found == m_read_by.end() ? nullptr : Find(found->second);
+}
+
+void HomeTask::Detach(const AnswerSink* sink) {
+  Request* request = FindReadBy(sink);
+  if (request == nullptr) return;
+  m_read_by.erase(sink);
+  std::erase_if(request->readers,
+                [sink](const Reader& reader) { return reader.sink.get() == sink; });
+  if (request->is_detachable || !request->readers.empty()) return;
+  // No caller knows the id, so nobody can come back for the answer.
+  if (request->IsUndispatched()) {
+    Refuse(*request, ErrorKind::kCancelled, "the caller has gone");
+  } else if (request->phase == Phase::kDispatched && request->submission.is_idempotent) {
+    request->run->Cancel();
+    ReleaseGrant(*request, ReleaseReason::kCancelled, {});
+    EndAs(*request, EndWith({ErrorKind::kBackendLost, "the caller has gone", ""}));
+  }
+}
+
+void HomeTask::OnSinkReady(const AnswerSink* sink) {
+  if (Request* request = FindReadBy(sink)) Pump(*request);
+}
+
+void HomeTask::Expire() {
+  const TimePoint now = m_context.loop.Now();
+  const std::uint64_t uptime = IssueTicket().issued_s;
+  std::erase_if(m_requests, [&](auto& item) {
+    Request& request = *item.second;
+    const bool has_ended = request.phase == Phase::kEnded || request.phase == Phase::kRedirected;
+    if (!has_ended) return false;
+    for (Reader& reader : request.readers) {
+      if (reader.sink && !reader.sink->IsOpen()) Drop(reader);
+    }
+    std::erase_if(request.readers, [](const Reader& reader) { return !reader.sink; });
+    const auto age = now - request.ended;
+    if (age < kAnswerKeptLeast || !request.readers.empty()) return false;
+    // The id itself stays known until its ticket has expired, so that it is never run again.
+    if (!request.is_answer_dropped && !request.answer.empty()) {
+      request.answer = std::string();
+      request.submission.prompt = std::string();
+      request.is_answer_dropped = true;
+    }
+    return request.ticket_issued_s + kTicketValiditySeconds + 1 < uptime;
+  });
+  for (auto& [pool, floors] : m_floors) {
+    std::erase_if(floors, [&](const Floor& floor) { return floor.until <= now; });
+  }
+}
+
+void HomeTask::BeginStop() { m_is_stopping = true; }
+
+void HomeTask::EndWaiting() {
+  std::vector<Request*> waiting;
+  for (auto& [id, request] : m_requests) {
+    if (request->IsUndispatched()) waiting.push_back(request.get());
+  }
+  for (Request* request : waiting) {
+    Refuse(*request, ErrorKind::kStopping, "the instance stopped before the request was run");
+  }
+}
+
+bool HomeTask::IsIdle() const {
+  return std::all_of(m_requests.begin(), m_requests.end(), [](const auto& item) {
+    const Request& request = *item.second;
+    const bool has_ended = request.phase == Phase::kEnded || request.phase == Phase::kRedirected;
+    const bool has_reader =
+        std::any_of(request.readers.begin(), request.readers.end(),
+                    [](const Reader& reader) { return reader.sink && reader.sink->IsOpen(); });
+    return has_ended && !has_reader;
+  });
+}
+
+RequestRow HomeTask::RowOf(const Request& request) const {
+  RequestRow row;
+  row.id = request.id;
+  row.organisation = request.submission.organisation;
+  row.tier = request.submission.tier;
+  row.pool = request.submission.pool;
+  row.data_centre = m_context.network.Self().data_centre;
+  row.age = Millis(MillisSince(request.received, m_context.loop.Now()));
+  switch (request.phase) {
+    case Phase::kClaiming:
+      row.phase = "claiming";
+      break;
+    case Phase::kWaiting:
+      row.phase = "waiting";
+      break;
+    case Phase::kDispatched:
+      row.phase = request.answer.empty() ? "dispatched" : "streaming";
+      row.backend = request.grant.backend;
+      if (const auto* backend = m_context.config.Current().config.FindBackend(row.backend)) {
+        row.data_centre = backend->data_centre;
+      }
+      break;
+    case Phase::kEnded:
+    case Phase::kRedirected:
+      row.phase = "ended";
+      break;
+  }
+  if (request.end && request.end->error) {
+    row.error = std::string(AnswerFor(request.end->error->kind).name);
+  }
+  return row;
+}
+
+std::vector<RequestRow> HomeTask::Waiting() const {
+  std::vector<RequestRow> rows;
+  for (const auto& [id, request] : m_requests) {
+    if (request->IsUndispatched()) rows.push_back(RowOf(*request));
+  }
+  return rows;
+}
+
+std::vector<RequestRow> HomeTask::Running() const {
+  std::vector<RequestRow> rows;
+  for (const auto& [id, request] : m_requests) {
+    if (request->phase == Phase::kDispatched) rows.push_back(RowOf(*request));
+  }
+  return rows;
+}
+
+std::vector<RequestRow> HomeTask::Refused() const {
+  std::vector<RequestRow> rows;
+  for (const Refusal& refusal : m_refusals) {
+    rows.push_back(refusal.row);
+    rows.back().age = Millis(MillisSince(refusal.at, m_context.loop.Now()));
+  }
+  return rows;
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/home/submission.cc
@@ -0,0 +1,186 @@
+#include "submission.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace bluebellpass {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kMaxTokens = 1'000'000;
+constexpr std::int64_t kDefaultMaxTokens = 256;
+constexpr std::size_t kMaxKeyLength = 200;
+// Engines cache prefixes in blocks; the first kilobyte tells prompts with a common prefix apart.
+constexpr std::size_t kPrefixBytes = 1024;
+// Usual ratio for prompts in Latin script; the engine reports exact counts afterwards.
+constexpr std::size_t kBytesPerToken = 4;
+
+Error Fault(ErrorKind kind, std::string field, std::string message) {
+  return Error{kind, std::move(message), std::move(field)};
+}
+
+/// Reads members of the body and keeps the first fault.
+class Reader {
+ public:
+  explicit Reader(const json& body) : m_body(body) {}
+
+  std::string Text(const char* name, bool is_required) {
+    const auto found = m_body.find(name);
+    if (found == m_body.end()) {
+      if (is_required) Fail(name, "is missing");
+      return {};
+    }
+    if (!found->is_string()) {
+      Fail(name, "must be a string");
+      return {};
+    }
+    return found->get<std::string>();
+  }
+
+  std::int64_t Number(const char* name, std::int64_t fallback, std::int64_t least,
+                      std::int64_t most) {
+    const auto found = m_body.find(name);
+    if (found == m_body.end()) return fallback;
+    if (!found->is_number_integer()) {
+      Fail(name, "must be a whole number");
+      return fallback;
+    }
+    // A number above the signed range reads as negative and is refused by the lower bound.
+    const auto value = found->get<std::int64_t>();
+    if (value < least || value > most) {
+      Fail(name, "must be from " + std::to_string(least) + " to " + std::to_string(most));
+    }
+    return value;
+  }
+
+  std::optional<bool> Flag(const char* name) {
+    const auto found = m_body.find(name);
+    if (found == m_body.end()) return std::nullopt;
+    if (!found->is_boolean()) {
+      Fail(name, "must be true or false");
+      return std::nullopt;
+    }
+    return found->get<bool>();
+  }
+
+  void Fail(const std::string& field, const std::string& message) {
+    if (!m_error) m_error = Fault(ErrorKind::kBadRequest, field, field + " " + message);
+  }
+
+  void RefuseUnknownMembers() {
+    static constexpr std::string_view kKnown[] = {
+        "organisation",    "tier",   "pool",       "deadline_ms", "idempotent",
+        "idempotency_key", "prompt", "max_tokens",
+    };
+    for (const auto& [name, value] : m_body.items()) {
+      if (std::find(std::begin(kKnown), std::end(kKnown), name) == std::end(kKnown)) {
+        Fail(name.substr(0, kMaxKeyLength), "is not a known field");
+      }
+    }
+  }
+
+  const std::optional<Error>& FirstError() const { return m_error; }
+
+ private:
+  const json& m_body;
+  std::optional<Error> m_error;
+};
+
+std::string ReadPrompt(const json& body, Reader& reader) {
+  const auto found = body.find("prompt");
+  if (found == body.end()) {
+    reader.Fail("prompt", "is missing");
+    return {};
+  }
+  if (found->is_string()) return found->get<std::string>();
+  if (found->is_object()) return found->dump();
+  reader.Fail("prompt", "must be a string, or an object for a plain service");
+  return {};
+}
+
+std::optional<Error> CheckNames(const Submission& submission, const ClusterConfig& config) {
+  if (config.FindOrganisation(submission.organisation) == nullptr) {
+    return Fault(ErrorKind::kUnknownOrganisation, "organisation",
+                 "organisation is not in the configuration");
+  }
+  if (config.FindTier(submission.tier) == nullptr) {
+    return Fault(ErrorKind::kUnknownTier, "tier", "tier is not in the configuration");
+  }
+  if (!config.HasPool(submission.pool)) {
+    return Fault(ErrorKind::kUnknownPool, "pool", "no backend server belongs to this pool");
+  }
+  return std::nullopt;
+}
+
+bool IsServicePool(const PoolName& pool, const ClusterConfig& config) {
+  return std::any_of(config.backends.begin(), config.backends.end(), [&](const auto& backend) {
+    return backend.pool == pool && backend.kind == "service";
+  });
+}
+
+std::optional<Error> CheckKey(const Submission& submission) {
+  if (submission.idempotency_key.size() > kMaxKeyLength) {
+    return Fault(ErrorKind::kBadRequest, "idempotency_key",
+                 "idempotency_key must have at most 200 characters");
+  }
+  // The key travels in a header, and a line break in it would add headers of the caller's choice.
+  const bool is_printable =
+      std::all_of(submission.idempotency_key.begin(), submission.idempotency_key.end(),
+                  [](char c) { return c > ' ' && c <= '~'; });
+  if (!is_printable) {
+    return Fault(ErrorKind::kBadRequest, "idempotency_key",
+                 "idempotency_key must consist of printable ASCII characters without spaces");
+  }
+  if (!submission.is_idempotent && submission.idempotency_key.empty()) {
+    return Fault(ErrorKind::kMissingIdempotencyKey, "idempotency_key",
+                 "a request that is not idempotent needs an idempotency_key");
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Result<Submission> ParseSubmission(std::string_view body, const ClusterConfig& config) {
+  const json document = json::parse(body, nullptr, false);
+  if (document.is_discarded())
+    return Fault(ErrorKind::kBadRequest, "", "the body is not valid JSON");
+  if (!document.is_object()) {
+    return Fault(ErrorKind::kBadRequest, "", "the body must be a JSON object");
+  }
+  Reader reader(document);
+  Submission submission;
+  submission.organisation = OrganisationId(reader.Text("organisation", true));
+  submission.tier = TierName(reader.Text("tier", true));
+  submission.pool = PoolName(reader.Text("pool", true));
+  if (!document.contains("deadline_ms")) reader.Fail("deadline_ms", "is missing");
+  submission.deadline = Millis(reader.Number("deadline_ms", 1, 1, kMaxDeadline.count()));
+  submission.max_tokens = Tokens(reader.Number("max_tokens", kDefaultMaxTokens, 1, kMaxTokens));
+  submission.idempotency_key = reader.Text("idempotency_key", false);
+  submission.prompt = ReadPrompt(document, reader);
+  const std::optional<bool> is_idempotent = reader.Flag("idempotent");
+  reader.RefuseUnknownMembers();
+  if (reader.FirstError()) return *reader.FirstError();
+  if (const auto error = CheckNames(submission, config)) return *error;
+
+  const bool is_service = IsServicePool(submission.pool, config);
+  if (is_service && !is_idempotent) {
+    // A forgotten flag must not turn an order into work that may be repeated.
+    return Fault(ErrorKind::kBadRequest, "idempotent", "idempotent is required for plain services");
+  }
+  submission.is_idempotent = is_idempotent.value_or(true);
+  if (const auto error = CheckKey(submission)) return *error;
+
+  submission.rank = config.FindTier(submission.tier)->rank;
+  if (is_service) submission.max_tokens = Tokens(0);
+  const std::size_t tokens = (submission.prompt.size() + kBytesPerToken - 1) / kBytesPerToken;
+  submission.prompt_tokens = Tokens(is_service ? 0 : static_cast<std::int64_t>(tokens));
+  const std::uint64_t pool_hash = StableHash(submission.pool.Text() + "\n");
+  const std::string_view prompt = submission.prompt;
+  submission.prefix = Fingerprint(StableHash(prompt.substr(0, kPrefixBytes), pool_hash));
+  submission.content = Fingerprint(StableHash(prompt, pool_hash));
+  return submission;
+}
+
+}  // namespace bluebellpass
--- a/src/kernel/http-client.cc
+++ b/src/kernel/http-client.cc
@@ -83,6 +83,12 @@
       self->Finish(HttpEnd::kConnectFailed, error);
       return nullptr;
     }
+    if (self->m_request.may_send && !self->m_request.may_send()) {
+      // Returning no callback makes the library close the connection and free its client.
+      self->m_native = nullptr;
+      self->Finish(HttpEnd::kWithdrawn, "withdrawn before sending");
+      return nullptr;
+    }
     *buffers = &self->m_buffer;
     *buffer_count = 1;
     *is_head = 0;
@@ -218,6 +224,7 @@
       case HttpEnd::kComplete:
         return done(std::move(*reply));
       case HttpEnd::kConnectFailed:
+      case HttpEnd::kWithdrawn:
         return done(Error{ErrorKind::kStoreUnavailable, message, ""});
       case HttpEnd::kFailed:
         return done(Error{ErrorKind::kStoreUncertain, message, ""});
--- a/src/kernel/http-client.h
+++ b/src/kernel/http-client.h
@@ -23,11 +23,15 @@
   std::string body;
   Millis connect_timeout{1'000};
   Millis idle_timeout{10'000};  ///< longest time without a byte from the server
+  /// Asked when the connection stands, just before the first byte leaves; false withdraws the
+  /// request, which then ends as kWithdrawn. May be empty.
+  std::function<bool()> may_send;
 };
 
 enum class HttpEnd {
   kComplete,       ///< the response is whole
   kConnectFailed,  ///< no byte of the request was sent
+  kWithdrawn,      ///< may_send returned false; no byte of the request was sent
   kFailed,         ///< the connection failed or went silent after bytes were sent
 };
 
--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -146,6 +146,8 @@
   }
 
   bool IsOpen() const override { return m_req != nullptr && !m_is_ended; }
+  /// @return false once the response is on its way to the client, or the client has gone
+  bool IsInProgress() const { return m_req != nullptr; }
   std::size_t PendingBytes() const override { return m_pending.size() + m_in_flight.size(); }
   void OnClosed(std::function<void()> function) override { m_on_closed = std::move(function); }
   void OnDrained(std::function<void()> function) override { m_on_drained = std::move(function); }
@@ -281,7 +283,7 @@
     std::size_t open = 0;
     for (const auto& weak : responses) {
       const auto responder = weak.lock();
-      if (responder && responder->IsOpen()) ++open;
+      if (responder && responder->IsInProgress()) ++open;
     }
     return open;
   }
@@ -289,7 +291,7 @@
   void Compact() {
     std::erase_if(responses, [](const auto& weak) {
       const auto responder = weak.lock();
-      return !responder || !responder->IsOpen();
+      return !responder || !responder->IsInProgress();
     });
   }
 
--- a/src/kernel/http-server.h
+++ b/src/kernel/http-server.h
@@ -78,7 +78,7 @@
   /// Closes the listening socket and asks clients on open connections to go.
   void StopAccepting();
 
-  /// @return responses that have not ended
+  /// @return responses that have not been passed to the system whole
   std::size_t OpenResponses() const;
 
  private:
--- /dev/null
+++ b/src/kernel/metrics.cc
@@ -0,0 +1,100 @@
+#include "metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdio>
+
+namespace bluebellpass {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array kQuantiles = {0.5, 0.95, 0.99};
+// Fewer observations than markers of the P-square estimate give no quantiles.
+constexpr std::size_t kLeastForQuantiles = 5;
+
+std::string Number(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.10g", value);
+  return text.data();
+}
+
+std::string Line(const std::string& name, const std::string& labels, double value) {
+  std::string line = "bluebellpass_" + name;
+  if (!labels.empty()) line += "{" + labels + "}";
+  return line + " " + Number(value) + "\n";
+}
+
+std::string TypeLine(const std::string& name, const char* type) {
+  return "# TYPE bluebellpass_" + name + " " + type + "\n";
+}
+
+std::string Join(const std::string& labels, const std::string& more) {
+  return labels.empty() ? more : labels + "," + more;
+}
+
+}  // namespace
+
+struct Metrics::Summary {
+  using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+
+  void Add(double value) {
+    totals(value);
+    for (Quantile& quantile : quantiles) quantile(value);
+  }
+
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>> totals;
+  std::array<Quantile, kQuantiles.size()> quantiles = {
+      Quantile(acc::quantile_probability = kQuantiles[0]),
+      Quantile(acc::quantile_probability = kQuantiles[1]),
+      Quantile(acc::quantile_probability = kQuantiles[2])};
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::Count(const std::string& name, const std::string& labels, std::int64_t amount) {
+  m_counters[name][labels] += static_cast<double>(amount);
+}
+
+void Metrics::Set(const std::string& name, double value, const std::string& labels) {
+  m_gauges[name][labels] = value;
+}
+
+void Metrics::Observe(const std::string& name, double value, const std::string& labels) {
+  auto& summary = m_summaries[name][labels];
+  if (!summary) summary = std::make_unique<Summary>();
+  summary->Add(value);
+}
+
+std::string Metrics::Render() const {
+  std::string text;
+  for (const auto& [name, series] : m_counters) {
+    text += TypeLine(name, "counter");
+    for (const auto& [labels, value] : series) text += Line(name, labels, value);
+  }
+  for (const auto& [name, series] : m_gauges) {
+    text += TypeLine(name, "gauge");
+    for (const auto& [labels, value] : series) text += Line(name, labels, value);
+  }
+  for (const auto& [name, series] : m_summaries) {
+    text += TypeLine(name, "summary");
+    for (const auto& [labels, summary] : series) {
+      const auto count = acc::count(summary->totals);
+      for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+        if (count < kLeastForQuantiles) break;
+        const double value = acc::p_square_quantile(summary->quantiles[i]);
+        text += Line(name, Join(labels, "quantile=\"" + Number(kQuantiles[i]) + "\""), value);
+      }
+      text += Line(name + "_sum", labels, acc::sum(summary->totals));
+      text += Line(name + "_count", labels, static_cast<double>(count));
+    }
+  }
+  return text;
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/test/cluster/cluster.cc
@@ -0,0 +1,414 @@
+#include "cluster.h"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+namespace bluebellpass::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPeerKey[] = "a-key-for-tests-only";
+constexpr Millis kTurn{10};
+constexpr Millis kStartLimit{10'000};
+
+std::string BinaryFolder() { return BLUEBELLPASS_BINARY_DIR; }
+
+Address LocalAddress() { return {"127.0.0.1", FreePort()}; }
+
+std::string DataCentreName(int number) { return "dc" + std::to_string(number % 3 + 1); }
+
+/// Takes the lines of an answer as they come.
+void TakeLine(CallerView& view, std::size_t& next_offset, const std::string& line) {
+  const json object = json::parse(line, nullptr, false);
+  if (!object.is_object()) return;
+  if (object.contains("offset")) {
+    if (object["offset"].get<std::size_t>() != next_offset) view.has_gap = true;
+    const std::string data = object.value("data", "");
+    view.answer += data;
+    next_offset += data.size();
+  } else if (object.contains("outcome")) {
+    view.outcome = object["outcome"].get<std::string>();
+    view.error = object.value("error", "");
+    if (view.outcome == "completed" && object.value("length", std::size_t{0}) != next_offset) {
+      view.has_gap = true;
+    }
+  } else {
+    view.resume = object.value("resume", "");
+    view.backend = object.value("backend", "");
+  }
+}
+
+}  // namespace
+
+json EngineBody(const std::string& prompt, const std::string& tier, int max_tokens,
+                int deadline_ms) {
+  return {{"organisation", "oficina"}, {"tier", tier},           {"pool", "assistant"},
+          {"deadline_ms", deadline_ms}, {"max_tokens", max_tokens}, {"prompt", prompt}};
+}
+
+json BookingBody(const std::string& key, int deadline_ms) {
+  return {{"organisation", "oficina"},      {"tier", "urgent"},
+          {"pool", "booking"},              {"deadline_ms", deadline_ms},
+          {"idempotent", false},            {"idempotency_key", key},
+          {"prompt", {{"school", "Escola " + key}}}};
+}
+
+Cluster::Cluster(ClusterOptions options)
+    : m_options(std::move(options)), m_log_folder(MakeLogFolder("bluebellpass-test")) {
+  m_store = LocalAddress();
+  m_store_process = Process({BinaryFolder() + "/standin-object-api", "--listen", m_store.Text()},
+                            m_log_folder + "/object-api.log");
+  for (const BackendGroup& group : m_options.backends) {
+    for (int number = 1; number <= group.count; ++number) {
+      auto backend = std::make_unique<BackendServer>();
+      backend->group = group;
+      backend->name = group.prefix + std::to_string(number);
+      backend->address = LocalAddress();
+      StartBackend(*backend);
+      if (m_options.has_backend_proxies) {
+        backend->proxy = StartProxy(backend->name, backend->address);
+      }
+      m_backends.push_back(std::move(backend));
+    }
+  }
+  if (m_options.has_store_proxy) m_store_proxy = StartProxy("store", m_store);
+  if (!WaitListening(m_store, "/control/stats")) throw std::runtime_error("no object API");
+  WriteConfig();
+  for (int number = 0; number < m_options.instances; ++number) {
+    Instance instance;
+    instance.name = "i" + std::to_string(number + 1);
+    instance.address = LocalAddress();
+    instance.peer = LocalAddress();
+    if (m_options.has_peer_proxies) {
+      instance.peer_proxy = StartProxy(instance.name + "-peer", instance.peer);
+    }
+    m_instances.push_back(std::move(instance));
+  }
+  for (Instance& instance : m_instances) StartDaemon(instance);
+  for (int number = 0; number < m_options.instances; ++number) {
+    if (!WaitReady(number)) throw std::runtime_error("no " + InstanceName(number));
+  }
+}
+
+Cluster::~Cluster() {
+  // A stopped process does not notice anything but SIGKILL, which the destructors send.
+  m_calls.clear();
+}
+
+bool Cluster::RunUntil(const std::function<bool()>& condition, Millis limit) {
+  const TimePoint end = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) return false;
+    m_loop.RunOnce(kTurn);
+  }
+  return true;
+}
+
+void Cluster::RunFor(Millis time) {
+  RunUntil([] { return false; }, time);
+}
+
+std::unique_ptr<Cluster::Proxy> Cluster::StartProxy(const std::string& name,
+                                                    const Address& target) {
+  auto proxy = std::make_unique<Proxy>();
+  proxy->address = LocalAddress();
+  proxy->control = LocalAddress();
+  proxy->process =
+      Process({BinaryFolder() + "/standin-proxy", "--listen", proxy->address.Text(), "--target",
+               target.Text(), "--control", proxy->control.Text()},
+              m_log_folder + "/proxy-" + name + ".log");
+  if (!WaitListening(proxy->control, "/")) throw std::runtime_error("no proxy");
+  return proxy;
+}
+
+bool Cluster::WaitListening(const Address& address, const std::string& path) {
+  return RunUntil([&] { return Call(address, "GET", path).has_value(); }, kStartLimit);
+}
+
+void Cluster::StartBackend(BackendServer& backend) {
+  std::vector<std::string> command = {BinaryFolder() + "/standin-" + backend.group.kind, "--listen",
+                                      backend.address.Text()};
+  command.insert(command.end(), backend.group.flags.begin(), backend.group.flags.end());
+  backend.process = Process(std::move(command), m_log_folder + "/" + backend.name + ".log");
+}
+
+void Cluster::WriteConfig() {
+  json config = {
+      {"tiers",
+       {{{"name", "urgent"}, {"rank", 0}},
+        {{"name", "normal"}, {"rank", 1}, {"share", 0.1}},
+        {{"name", "batch"}, {"rank", 2}, {"share", 0.1}}}},
+      {"organisations",
+       {{{"name", "oficina"}}, {{"name", "grande"}}, {{"name", "taller"}}, {{"name", "distrib"}}}},
+      {"backend_servers", json::array()}};
+  int number = 0;
+  for (const auto& backend : m_backends) {
+    const Address& address = backend->proxy ? backend->proxy->address : backend->address;
+    config["backend_servers"].push_back({{"name", backend->name},
+                                         {"kind", backend->group.kind},
+                                         {"address", address.Text()},
+                                         {"pool", backend->group.pool},
+                                         {"data_centre", DataCentreName(number++)},
+                                         {"region", "region1"},
+                                         {"slots", backend->group.slots}});
+  }
+  config.merge_patch(m_options.extra_config);
+  HttpCallRequest call;
+  call.address = m_store;
+  call.method = "PUT";
+  call.path = "/objects/config/main";
+  call.headers = {{"if-none-match", "*"}};
+  call.body = config.dump();
+  bool is_done = false;
+  m_client.Fetch(std::move(call), [&](const Result<HttpReply>&) { is_done = true; });
+  RunUntil([&] { return is_done; });
+}
+
+void Cluster::StartDaemon(Instance& instance) {
+  const int number = std::stoi(instance.name.substr(1)) - 1;
+  const Address& store = m_store_proxy ? m_store_proxy->address : m_store;
+  const Address& peer = instance.peer_proxy ? instance.peer_proxy->address : instance.peer;
+  std::vector<std::string> command = {
+      BinaryFolder() + "/bluebellpass", "serve",
+      "--instance",       instance.name,
+      "--data-centre",    DataCentreName(number),
+      "--region",         "region1",
+      "--listen",         instance.address.Text(),
+      "--peer-listen",    instance.peer.Text(),
+      "--peer-advertise", peer.Text(),
+      "--object-api",     store.Text(),
+      "--peer-key",       kPeerKey,
+      "--log-level",      "debug"};
+  for (const Instance& other : m_instances) {
+    if (other.name == instance.name) continue;
+    command.emplace_back("--seed");
+    command.push_back((other.peer_proxy ? other.peer_proxy->address : other.peer).Text());
+  }
+  command.insert(command.end(), m_options.daemon_flags.begin(), m_options.daemon_flags.end());
+  instance.last_event = 0;
+  instance.process = Process(std::move(command), m_log_folder + "/" + instance.name + ".log");
+}
+
+void Cluster::Restart(int instance) {
+  Timeline();
+  Instance& target = m_instances[Index(instance)];
+  target.process.Kill();
+  StartDaemon(target);
+}
+
+bool Cluster::WaitReady(int instance, Millis limit) {
+  const auto expected = std::size_t{1};
+  return RunUntil(
+      [&] {
+        const auto reply = Call(CallerAddress(instance), "GET", "/healthz", "", Millis{500});
+        if (!reply || reply->status != 200) return false;
+        const json health = json::parse(reply->body, nullptr, false);
+        return health.value("members", std::size_t{0}) >= expected;
+      },
+      limit);
+}
+
+std::optional<HttpReply> Cluster::Call(const Address& address, const std::string& method,
+                                       const std::string& path, const std::string& body,
+                                       Millis limit) {
+  HttpCallRequest request;
+  request.address = address;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.connect_timeout = limit;
+  request.idle_timeout = limit;
+  auto result = std::make_shared<std::optional<Result<HttpReply>>>();
+  m_client.Fetch(std::move(request),
+                 [result](Result<HttpReply> reply) { *result = std::move(reply); });
+  RunUntil([&] { return result->has_value(); }, limit);
+  if (!result->has_value() || !IsOk(**result)) return std::nullopt;
+  return std::get<HttpReply>(**result);
+}
+
+std::string Cluster::NewId(int instance) {
+  const auto reply = Call(CallerAddress(instance), "GET", "/v1/instances");
+  if (!reply) return {};
+  const json list = json::parse(reply->body, nullptr, false);
+  for (const json& row : list.value("instances", json::array())) {
+    if (row["id"] == InstanceName(instance)) {
+      return row["ticket"].get<std::string>() + ".n" + std::to_string(m_next_nonce++);
+    }
+  }
+  return {};
+}
+
+std::shared_ptr<CallerView> Cluster::StartCall(HttpCallRequest request, std::size_t offset) {
+  auto view = std::make_shared<CallerView>();
+  auto rest = std::make_shared<std::string>();
+  auto next = std::make_shared<std::size_t>(offset);
+  request.idle_timeout = Millis{120'000};
+  HttpCallEvents events;
+  events.on_head = [view](int status, const HttpHeaders& headers) {
+    view->status = status;
+    const auto id = headers.find("bluebellpass-request-id");
+    if (id != headers.end()) view->id = id->second;
+  };
+  events.on_data = [view, rest, next](std::string_view bytes) {
+    rest->append(bytes);
+    for (std::size_t end = rest->find('\n'); end != std::string::npos; end = rest->find('\n')) {
+      TakeLine(*view, *next, rest->substr(0, end));
+      rest->erase(0, end + 1);
+    }
+  };
+  events.on_end = [view](HttpEnd /*end*/, const std::string& /*message*/) { view->is_done = true; };
+  m_calls[view] = m_client.Start(std::move(request), std::move(events));
+  return view;
+}
+
+std::shared_ptr<CallerView> Cluster::Submit(int instance, const json& body, const std::string& id) {
+  HttpCallRequest request;
+  request.address = CallerAddress(instance);
+  request.method = "POST";
+  request.path = "/v1/requests";
+  if (!id.empty()) request.headers["bluebellpass-request-id"] = id;
+  request.body = body.dump();
+  auto view = StartCall(std::move(request), 0);
+  view->id = id;
+  return view;
+}
+
+std::shared_ptr<CallerView> Cluster::Fetch(int instance, const std::string& id,
+                                           std::size_t offset) {
+  HttpCallRequest request;
+  request.address = CallerAddress(instance);
+  request.path = "/v1/requests/" + id + "?offset=" + std::to_string(offset);
+  auto view = StartCall(std::move(request), offset);
+  view->id = id;
+  return view;
+}
+
+std::shared_ptr<CallerView> Cluster::Resume(int instance, const std::string& token,
+                                            std::size_t offset) {
+  HttpCallRequest request;
+  request.address = CallerAddress(instance);
+  request.path = "/v1/resume?token=" + token + "&offset=" + std::to_string(offset);
+  return StartCall(std::move(request), offset);
+}
+
+void Cluster::HangUp(const std::shared_ptr<CallerView>& view) {
+  m_calls.erase(view);
+  view->is_done = true;
+}
+
+json Cluster::Command(int instance, const std::string& text) {
+  const auto reply = Call(CallerAddress(instance), "POST", "/v1/command", text, Millis{10'000});
+  if (!reply) return nullptr;
+  return json::parse(reply->body, nullptr, false);
+}
+
+int Cluster::OwnerOf(const std::string& pool) {
+  std::string owner;
+  for (const TimelineEvent& event : Timeline()) {
+    if (event.name != "owner_taken") continue;
+    if (json::parse(event.json).value("pool", "") == pool) owner = event.instance;
+  }
+  for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    if (m_instances[i].name == owner) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+Cluster::BackendServer& Cluster::FindBackend(const std::string& name) {
+  for (const auto& backend : m_backends) {
+    if (backend->name == name) return *backend;
+  }
+  throw std::runtime_error("no backend server " + name);
+}
+
+Process& Cluster::Backend(const std::string& name) { return FindBackend(name).process; }
+
+void Cluster::RestartBackend(const std::string& name) {
+  BackendServer& backend = FindBackend(name);
+  ReadExecutions(backend);
+  for (const auto& [key, execution] : backend.seen) backend.lost.push_back(execution);
+  backend.seen.clear();
+  backend.process.Kill();
+  StartBackend(backend);
+  WaitListening(backend.address, "/control/executions");
+}
+
+void Cluster::ControlAt(const Address& address, const json& command) {
+  const auto reply = Call(address, "POST", "/control", command.dump());
+  if (!reply || reply->status != 200) throw std::runtime_error("control failed: " + command.dump());
+}
+
+void Cluster::ControlStore(const json& command) { ControlAt(m_store, command); }
+
+void Cluster::ControlBackend(const std::string& name, const json& command) {
+  ControlAt(FindBackend(name).address, command);
+}
+
+void Cluster::ControlBackendProxy(const std::string& name, const json& command) {
+  ControlAt(FindBackend(name).proxy->control, command);
+}
+
+void Cluster::ControlStoreProxy(const json& command) { ControlAt(m_store_proxy->control, command); }
+
+void Cluster::ControlPeerProxy(int instance, const json& command) {
+  ControlAt(m_instances[Index(instance)].peer_proxy->control, command);
+}
+
+std::vector<std::string> Cluster::BackendNames(const std::string& pool) const {
+  std::vector<std::string> names;
+  for (const auto& backend : m_backends) {
+    if (backend->group.pool == pool) names.push_back(backend->name);
+  }
+  return names;
+}
+
+void Cluster::ReadExecutions(BackendServer& backend) {
+  const auto reply = Call(backend.address, "GET", "/control/executions", "", Millis{1'000});
+  if (!reply) return;
+  const json list = json::parse(reply->body, nullptr, false);
+  if (!list.is_array()) return;
+  std::size_t number = 0;
+  for (const json& row : list) {
+    Execution execution{backend.name, row.value("request_id", ""), row.value("key", ""),
+                        row.value("started_ms", std::int64_t{0})};
+    backend.seen[std::to_string(number++)] = execution;
+  }
+}
+
+std::vector<Execution> Cluster::Executions() {
+  std::vector<Execution> all;
+  for (const auto& backend : m_backends) {
+    if (backend->process.IsRunning()) ReadExecutions(*backend);
+    all.insert(all.end(), backend->lost.begin(), backend->lost.end());
+    for (const auto& [key, execution] : backend->seen) all.push_back(execution);
+  }
+  return all;
+}
+
+std::vector<TimelineEvent> Cluster::Timeline() {
+  for (Instance& instance : m_instances) {
+    while (instance.process.IsRunning()) {
+      const auto reply =
+          Call(instance.address, "GET", "/v1/events?after=" + std::to_string(instance.last_event),
+               "", Millis{500});
+      if (!reply) break;
+      std::vector<TimelineEvent> page = ParseEvents(reply->body);
+      if (page.empty()) break;
+      instance.last_event = page.back().number;
+      m_events.insert(m_events.end(), page.begin(), page.end());
+    }
+  }
+  SortTimeline(m_events);
+  return m_events;
+}
+
+bool Cluster::HasEvent(const std::string& name, const std::string& request) {
+  for (const TimelineEvent& event : Timeline()) {
+    if (event.name == name && event.request == request) return true;
+  }
+  return false;
+}
+
+}  // namespace bluebellpass::test
--- /dev/null
+++ b/test/cluster/fault-matrix-main.cc
@@ -0,0 +1,84 @@
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include "fault-matrix.h"
+
+/// Runs the cells of the fault matrix, or seeded pairs of faults, and prints one line for each.
+
+namespace bluebellpass::test {
+namespace {
+
+struct Options {
+  int shard = 0;
+  int shards = 1;
+  int pairs = 0;  ///< number of pair cases; 0 runs the matrix
+  std::uint32_t seed = 1;
+  std::string step;   ///< only steps with this text in their name
+  std::string fault;  ///< only faults with this text in their name
+};
+
+struct Count {
+  int passed = 0;
+  int failed = 0;
+};
+
+void RunOne(const Step& step, const std::vector<const Fault*>& faults, Count& count) {
+  std::string name = step.name + " x " + faults.front()->name;
+  if (faults.size() > 1) name += " + " + faults.back()->name;
+  const std::vector<std::string> violations = RunCell(step, faults);
+  (violations.empty() ? count.passed : count.failed)++;
+  std::cout << (violations.empty() ? "passed: " : "FAILED: ") << name << std::endl;
+  for (const std::string& violation : violations) std::cout << "    " << violation << std::endl;
+}
+
+bool IsChosen(const std::string& name, const std::string& filter) {
+  return filter.empty() || name.find(filter) != std::string::npos;
+}
+
+void RunMatrix(const Options& options, Count& count) {
+  int number = 0;
+  for (const Step& step : Steps()) {
+    for (const Fault& fault : Faults()) {
+      if (!IsChosen(step.name, options.step) || !IsChosen(fault.name, options.fault)) continue;
+      if (number++ % options.shards == options.shard) RunOne(step, {&fault}, count);
+    }
+  }
+}
+
+void RunPairs(const Options& options, Count& count) {
+  std::mt19937 random(options.seed);
+  for (int number = 0; number < options.pairs; ++number) {
+    const Step& step = Steps()[random() % Steps().size()];
+    const Fault& first = Faults()[random() % Faults().size()];
+    const Fault& second = Faults()[random() % Faults().size()];
+    if (number % options.shards == options.shard) RunOne(step, {&first, &second}, count);
+  }
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Runs the cells of the fault matrix.");
+  Options options;
+  app.add_option("--shard", options.shard, "which part of the cells to run");
+  app.add_option("--shards", options.shards, "number of parts");
+  app.add_option("--pairs", options.pairs, "run this many pairs of faults instead");
+  app.add_option("--seed", options.seed, "seed of the pairs");
+  app.add_option("--step", options.step, "only steps with this text in their name");
+  app.add_option("--fault", options.fault, "only faults with this text in their name");
+  CLI11_PARSE(app, argc, argv);
+  Count count;
+  if (options.pairs > 0) {
+    std::cout << "seed " << options.seed << std::endl;
+    RunPairs(options, count);
+  } else {
+    RunMatrix(options, count);
+  }
+  std::cout << count.passed << " passed, " << count.failed << " failed" << std::endl;
+  return count.failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace bluebellpass::test
+
+int main(int argc, char** argv) { return bluebellpass::test::Main(argc, argv); }
--- /dev/null
+++ b/test/cluster/fault-matrix.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster.h"
+
+namespace bluebellpass::test {
+
+/// The request under test, while its cell of the matrix runs.
+struct Subject {
+  Cluster& cluster;
+  int home = 0;         ///< instance whose ticket the id carries
+  int entry = 0;        ///< instance to which the caller talks
+  bool is_booking = false;
+  nlohmann::json body;
+  std::string id;
+  std::vector<std::shared_ptr<CallerView>> views;    ///< of this request, first one first
+  std::vector<std::shared_ptr<CallerView>> fillers;  ///< of the work that keeps servers busy
+};
+
+/// A point in the life of a request at which a fault is injected.
+struct Step {
+  std::string name;
+  bool is_booking = false;
+  /// Brings the subject to the step. Returns false when it could not be reached.
+  std::function<bool(Subject&)> reach;
+};
+
+/// A fault with its repair.
+struct Fault {
+  std::string name;
+  /// Outcome "unknown" is allowed, because the fault destroys what is needed to know better.
+  bool may_be_unknown = false;
+  std::function<void(Subject&)> inject;
+  std::function<void(Subject&)> heal;
+};
+
+const std::vector<Step>& Steps();
+const std::vector<Fault>& Faults();
+
+/// Runs one cell: reaches the step, injects the faults, heals them, lets the caller send again
+/// through every instance, and checks the invariants against the stand-ins' records.
+/// @param faults injected one after the other; one for a cell of the matrix, two for a pair
+/// @return what was violated; empty when the cell has passed
+std::vector<std::string> RunCell(const Step& step, const std::vector<const Fault*>& faults);
+
+}  // namespace bluebellpass::test
--- /dev/null
+++ b/test/cluster/process.cc
@@ -0,0 +1,114 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <stdexcept>
+#include <utility>
+
+extern char** environ;
+
+namespace bluebellpass::test {
+namespace {
+
+constexpr int kFirstPort = 12'000;
+constexpr int kPortsPerProcess = 400;
+constexpr int kProcessSlots = 50;
+
+bool IsFree(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(static_cast<std::uint16_t>(port));
+  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+  close(fd);
+  return is_free;
+}
+
+}  // namespace
+
+Process::Process(std::vector<std::string> command, std::string log_path) {
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (std::string& word : command) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  const int error =
+      posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) throw std::runtime_error("cannot start " + command.front());
+}
+
+Process::~Process() { Kill(); }
+
+Process::Process(Process&& other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1)),
+      m_has_exited(other.m_has_exited),
+      m_code(other.m_code) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+  Kill();
+  m_pid = std::exchange(other.m_pid, -1);
+  m_has_exited = other.m_has_exited;
+  m_code = other.m_code;
+  return *this;
+}
+
+bool Process::IsRunning() { return m_pid > 0 && !HasExited(nullptr); }
+
+void Process::Signal(int number) const {
+  if (m_pid > 0 && !m_has_exited) kill(m_pid, number);
+}
+
+void Process::Kill() {
+  if (m_pid <= 0 || HasExited(nullptr)) return;
+  kill(m_pid, SIGKILL);
+  int status = 0;
+  waitpid(m_pid, &status, 0);
+  m_has_exited = true;
+  m_code = 128 + SIGKILL;
+}
+
+bool Process::HasExited(int* code) {
+  if (m_pid > 0 && !m_has_exited) {
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
+      m_has_exited = true;
+      m_code = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+  }
+  if (m_has_exited && code != nullptr) *code = m_code;
+  return m_has_exited;
+}
+
+std::uint16_t FreePort() {
+  static const int base = kFirstPort + (getpid() % kProcessSlots) * kPortsPerProcess;
+  static int next = 0;
+  for (int tries = 0; tries < kPortsPerProcess; ++tries) {
+    const int port = base + next++ % kPortsPerProcess;
+    if (IsFree(port)) return static_cast<std::uint16_t>(port);
+  }
+  throw std::runtime_error("no free port");
+}
+
+std::string MakeLogFolder(const std::string& name) {
+  std::string path = (std::filesystem::temp_directory_path() / (name + "-XXXXXX")).string();
+  if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("cannot create " + path);
+  return path;
+}
+
+}  // namespace bluebellpass::test
--- /dev/null
+++ b/test/metrics-test.cc
@@ -0,0 +1,36 @@
+#include "kernel/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace bluebellpass {
+namespace {
+
+// Guards against quantiles that are off or missing after many observations.
+BOOST_AUTO_TEST_CASE(SummaryHasQuantiles) {
+  Metrics metrics;
+  for (int i = 1; i <= 1000; ++i) metrics.Observe("delay_ms", i, "tier=\"urgent\"");
+  const std::string text = metrics.Render();
+  BOOST_TEST(text.find("bluebellpass_delay_ms{tier=\"urgent\",quantile=\"0.5\"} 5") !=
+             std::string::npos);
+  BOOST_TEST(text.find("bluebellpass_delay_ms_count{tier=\"urgent\"} 1000") != std::string::npos);
+}
+
+// Guards against a quantile of too few observations, which the estimator does not define.
+BOOST_AUTO_TEST_CASE(FewObservationsGiveNoQuantile) {
+  Metrics metrics;
+  metrics.Observe("delay_ms", 1);
+  BOOST_TEST(metrics.Render().find("quantile") == std::string::npos);
+}
+
+// Guards against counters that lose their labels.
+BOOST_AUTO_TEST_CASE(CountersAddUpPerLabel) {
+  Metrics metrics;
+  metrics.Count("requests_total", "tier=\"a\"");
+  metrics.Count("requests_total", "tier=\"a\"", 2);
+  metrics.Count("requests_total", "tier=\"b\"");
+  BOOST_TEST(metrics.Render().find("bluebellpass_requests_total{tier=\"a\"} 3\n") !=
+             std::string::npos);
+}
+
+}  // namespace
+}  // namespace bluebellpass
