Add the scheduling policy and the owner task

Cause: nothing yet decided which backend server runs a request, and when. Reservations need tier order, fairness over organisations, bounds with the shed floor, and protection from requests that crash backend servers.

Ruled out: - Granting small requests past a blocked large one without limit: large requests would wait until their deadlines. The first item without room now keeps one server free of later items. - Shedding tiers between the full and the lowest one before the floor is acknowledged: instances may still keep work below them. Only the lowest tier is shed without promises. - Counting each report of a lost backend server as a death: one crash with two runs of a content would quarantine it. All runs on the server are counted with the first report.

Change: src/policy/ (queue, load, suspects, shed floor, cell; no I/O, time is passed in) and src/owner/ (messages and events). Reservation gains its region and ReleaseReason gains kUnreachable. Three defaulted comparisons in public headers carry NOLINT for a false finding of modernize-use-nullptr.

Conclusion: the owner role is complete for the default policy and the round-robin baseline. Static shares are not included.

--- a/include/bluebellpass/peer.h
+++ b/include/bluebellpass/peer.h
@@ -18,13 +18,14 @@
   PoolName pool;
   Region region;
 
-  auto operator<=>(const CellId&) const = default;
+  auto operator<=>(const CellId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Waiting work, as its owner needs to know it.
 struct Reservation {
   RequestId id;
   PoolName pool;
+  Region region;
   TierName tier;
   OrganisationId organisation;
   Tokens prompt_tokens;
@@ -80,6 +81,7 @@
   kCancelled,
   kFailed,       ///< the run failed, the backend server lives
   kBackendLost,  ///< the backend server died or fell silent during the run
+  kUnreachable,  ///< the backend server could not be reached; nothing was sent
 };
 
 /// Home to owner: a granted run is over.
--- /dev/null
+++ b/src/owner/owner-task.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bluebellpass/peer.h"
+#include "bluebellpass/timer.h"
+#include "config/config-service.h"
+#include "policy/cell.h"
+
+namespace bluebellpass {
+
+/// A waiting request, for the operators' view.
+struct WaitingRow {
+  RequestId id;
+  InstanceId home;
+  CellId cell;
+  TierName tier;
+  OrganisationId organisation;
+  std::int64_t bytes = 0;
+  Tokens tokens;        ///< prompt and longest output
+  Millis waited{0};     ///< at the owner
+  Millis remaining{0};  ///< until the deadline
+};
+
+/// A backend server with the cell that counts it, for the operators' view.
+struct CellBackendRow {
+  CellId cell;
+  BackendRow backend;
+};
+
+/// Performs the owner role: keeps a Cell for each cell that this instance owns or that other
+/// instances take it to own, and turns the cells' actions into messages.
+class OwnerTask : public PeerListener, public ConfigListener {
+ public:
+  /// Registers with the network. The caller registers it with the configuration service. Both the
+  /// network and the timers must outlive it.
+  OwnerTask(PeerNetwork& network, TimerService& timers,
+            QueuePolicy policy = QueuePolicy::kWeightedFair);
+  OwnerTask(const OwnerTask&) = delete;
+  OwnerTask& operator=(const OwnerTask&) = delete;
+  ~OwnerTask() override = default;
+
+  void OnPeerMessage(const InstanceId& from, const PeerMessage& message) override;
+  void OnLinkUp(const InstanceId& peer, Incarnation incarnation) override;
+  void OnLinkDown(const InstanceId& peer) override;
+  void OnMembersChanged() override;
+  void OnPeerStatus(const InstanceId& peer, const PeerStatus& status) override;
+  void OnConfigApplied(const VersionedConfig& config) override;
+
+  std::vector<WaitingRow> Waiting() const;
+  std::vector<CellBackendRow> Backends() const;
+  /// @return suspects and quarantined contents; entries with 0 deaths are recent releases
+  std::vector<QuarantineEntry> Quarantine() const { return m_suspects.Entries(m_timers.Now()); }
+  /// @return true when the content must not be run, so that a home can refuse it at once
+  bool IsQuarantined(Fingerprint content) const {
+    return m_suspects.IsQuarantined(content, m_timers.Now());
+  }
+  /// An operator's order to let a content run again.
+  /// @return false when nothing was held against it
+  bool Release(Fingerprint content);
+  /// @return figures of all cells since the start of the process
+  CellCounters Counters() const;
+
+ private:
+  struct OwnedCell {
+    std::unique_ptr<Cell> cell;
+    bool is_owned = false;  ///< in the view of this instance
+  };
+
+  void Handle(const InstanceId& from, const ReserveMessage& message);
+  void Handle(const InstanceId& from, const CancelMessage& message);
+  void Handle(const InstanceId& from, const SyncMessage& message);
+  void Handle(const InstanceId& from, const ReleaseMessage& message);
+  void Handle(const InstanceId& from, const FloorAckMessage& message);
+  void Handle(const InstanceId& from, const QuarantineMessage& message);
+  /// Messages for other tasks.
+  template <class Message>
+  void Handle(const InstanceId& /*from*/, const Message& /*message*/) {}
+
+  bool IsOwner(const CellId& id) const;
+  Cell& CellFor(const CellId& id);
+  Cell* FindCell(const CellId& id);
+  void UpdateOwnership();
+  void Drop(std::map<CellId, OwnedCell>::iterator place);
+  void Tick();
+
+  void Flush(Cell& cell);
+  void PerformAll(Cell& cell);
+  void DropGoneHomes();
+  void Perform(const Cell& cell, const GrantAction& action);
+  void Perform(const Cell& cell, const RefuseAction& action);
+  void Perform(const Cell& cell, const AskFloorAction& action);
+  void Perform(const Cell& cell, const FloorHeldAction& action);
+  void Perform(const Cell& cell, const SuspectAction& action);
+  void SendToHome(const InstanceId& home, const PeerMessage& message);
+  void BroadcastQuarantine();
+
+  PeerNetwork& m_network;
+  TimerService& m_timers;
+  QueuePolicy m_policy;
+  Suspects m_suspects;
+  std::uint64_t m_changes_sent = 0;
+  std::map<CellId, OwnedCell> m_cells;
+  std::uint64_t m_cells_made = 0;
+  std::optional<ClusterConfig> m_config;
+  /// Received before the first configuration, without which nothing can be queued.
+  std::vector<std::pair<InstanceId, PeerMessage>> m_early;
+  std::set<InstanceId> m_gone;  ///< homes to which a message could not be sent
+  CellCounters m_past;          ///< of cells that were dropped
+  Timer m_tick;
+};
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/policy/backend-load.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "bluebellpass/config.h"
+#include "bluebellpass/peer.h"
+
+namespace bluebellpass {
+
+/// Bounded table from the fingerprint of a prefix to the backend server that ran it last.
+class PrefixTable {
+ public:
+  void Set(Fingerprint prefix, const BackendId& backend);
+  const BackendId* Find(Fingerprint prefix) const;
+  std::size_t Size() const { return m_rows.size(); }
+
+ private:
+  using Row = std::pair<Fingerprint, BackendId>;
+  std::list<Row> m_rows;  ///< the row used last is the first
+  std::unordered_map<Fingerprint, std::list<Row>::iterator> m_index;
+};
+
+/// What a backend server does for an operator's view and for the choice of a server.
+struct BackendRow {
+  BackendId id;
+  bool is_active = false;
+  std::int64_t slots = 0;
+  std::int64_t slots_used = 0;
+  std::int64_t token_capacity = 0;
+  std::int64_t tokens_used = 0;
+  double prefill_tokens_per_second = 0;  ///< learned
+  double decode_tokens_per_second = 0;   ///< learned, of one stream
+  bool is_backing_off = false;           ///< died lately and has completed nothing since
+};
+
+/// Load and speed of the backend servers of one cell, as counted by its owner.
+class BackendLoad {
+ public:
+  /// What a request needs of a server.
+  struct Demand {
+    Tokens prompt;
+    Tokens output;
+    Fingerprint prefix;
+    bool is_alone = false;  ///< only on a server with nothing else running
+
+    Tokens Total() const { return prompt + output; }
+  };
+
+  /// Replaces the set of servers; what runs on them and what was learned stays.
+  void Configure(const std::vector<BackendConfig>& backends);
+
+  /// Chooses the server with room and the shortest expected completion, or the one that has the
+  /// prefix while its load is at most 1.25 times the mean.
+  /// @param kept_free server that must not be chosen; may be empty
+  std::optional<BackendId> Choose(const Demand& demand, const BackendId& kept_free,
+                                  TimePoint now) const;
+
+  /// @return the server that is likely to have room for the demand first, to be kept free for it
+  std::optional<BackendId> LeastLoaded(const Demand& demand, TimePoint now) const;
+
+  /// @return the next active server in turn, whatever its load
+  std::optional<BackendId> InTurn();
+
+  /// Counts a run. Unknown servers are counted too, for the case that they are configured later.
+  void Begin(const BackendId& backend, Tokens tokens, bool is_alone);
+  /// Ends the count of a run, with the same arguments.
+  void End(const BackendId& backend, Tokens tokens, bool is_alone);
+
+  /// Learns from the measured times of a completed run and ends a backoff.
+  void Learn(const ReleaseMessage& release, TimePoint now);
+  /// The server died: no grants for 1 s, doubling to 30 s, then one probe at a time.
+  void OnLost(const BackendId& backend, TimePoint now);
+  void NotePrefix(Fingerprint prefix, const BackendId& backend) {
+    if (prefix.Value() != 0) m_prefixes.Set(prefix, backend);
+  }
+
+  /// Moves speeds that have had no sample for 10 s towards the configured ones. Without this a
+  /// slow phase could make the owner refuse all work and never learn that it is over.
+  void Drift(TimePoint now);
+
+  /// @return shortest time in which an active, empty server could complete the demand; nullopt
+  /// when no server is active
+  std::optional<Millis> FastestEmpty(const Demand& demand) const;
+
+  /// @return true when some active server has a free slot
+  bool HasFreeSlot() const;
+
+  std::vector<BackendRow> Rows() const;
+
+ private:
+  struct Server {
+    BackendConfig config;
+    bool is_configured = false;
+    std::int64_t slots_used = 0;
+    std::int64_t tokens_used = 0;
+    std::int64_t runs_alone = 0;
+    double prefill_speed = 0;
+    double decode_speed = 0;
+    TimePoint learned_at;
+    Millis backoff{0};  ///< 0 when the server is not backing off
+    TimePoint retry_at;
+
+    bool IsActive() const { return is_configured && config.state == BackendState::kActive; }
+    bool IsService() const { return config.kind == "service"; }
+    double Load() const;
+  };
+
+  bool HasRoom(const Server& server, const Demand& demand, TimePoint now) const;
+  bool IsPreferred(const Server& server) const;
+  static double ExpectedSeconds(const Server& server, const Demand& demand);
+
+  std::map<BackendId, Server> m_servers;
+  PrefixTable m_prefixes;
+  std::int64_t m_largest_capacity = 0;  ///< tokens, of the active servers
+  std::size_t m_turn = 0;
+};
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/policy/cell.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "policy/backend-load.h"
+#include "policy/cell-queue.h"
+#include "policy/shed-floor.h"
+#include "policy/suspects.h"
+
+namespace bluebellpass {
+
+/// How a cell schedules. The second is a baseline for benchmarks.
+enum class QueuePolicy {
+  kWeightedFair,
+  kFifoRoundRobin,  ///< grants at once, servers in turn, whatever their load
+};
+
+/// A backend server for a request.
+struct GrantAction {
+  InstanceId home;
+  GrantMessage message;
+  Reservation reservation;
+};
+/// A request must not wait any longer.
+struct RefuseAction {
+  InstanceId home;
+  RefuseMessage message;
+  TierName tier;
+  OrganisationId organisation;
+};
+/// Instances are to be asked for a shed floor.
+struct AskFloorAction {
+  std::vector<InstanceId> instances;
+  FloorAskMessage message;
+};
+/// All instances have acknowledged a floor.
+struct FloorHeldAction {
+  TierRank rank;
+};
+/// A death was counted against a content.
+struct SuspectAction {
+  Fingerprint content;
+  std::uint32_t deaths = 0;
+  BackendId backend;
+};
+using CellAction =
+    std::variant<GrantAction, RefuseAction, AskFloorAction, FloorHeldAction, SuspectAction>;
+
+/// Figures since the cell was made.
+struct CellCounters {
+  std::map<TierName, std::int64_t> granted_tokens;
+  std::map<TierName, std::int64_t> shed_requests;  ///< refused as overloaded or by the limit
+  std::int64_t wasted_prefill_tokens = 0;          ///< uncached prompt of runs without an answer
+};
+
+/// The scheduling state of one cell at its owner. Pure logic: time is passed in, and what is to be
+/// done is collected as actions.
+class Cell {
+ public:
+  /// @param first_number grants and floor rounds are numbered from here; ranges of cells with the
+  /// same owner must not overlap
+  /// @param suspects shared by all cells of the instance; must outlive the cell
+  Cell(CellId id, QueuePolicy policy, std::uint64_t first_number, Suspects& suspects);
+
+  void OnReserve(const InstanceId& home, const Reservation& reservation, TimePoint now);
+  void OnCancel(const InstanceId& home, const RequestId& id, TimePoint now);
+  /// Replaces all state of a home in this cell.
+  void OnSync(const InstanceId& home, const SyncMessage& sync, TimePoint now);
+  void OnRelease(const InstanceId& home, const ReleaseMessage& release, TimePoint now);
+  /// Drops all state of a home whose link is down.
+  void OnHomeGone(const InstanceId& home, TimePoint now);
+  void OnConfig(const ClusterConfig& config, TimePoint now);
+  void OnFloorAck(const InstanceId& from, const FloorAckMessage& ack, TimePoint now);
+  void OnMembers(const std::vector<Member>& members, TimePoint now);
+  /// Expires deadlines and asks for floors again; to be called every 100 ms or so.
+  void Tick(TimePoint now);
+
+  /// @return what is to be done since the last call, in order
+  std::vector<CellAction> TakeActions() { return std::exchange(m_actions, {}); }
+
+  const CellId& Id() const { return m_id; }
+  const CellQueue& Queue() const { return m_queue; }
+  const BackendLoad& Load() const { return m_load; }
+  const ShedFloor& Floor() const { return m_floor; }
+  const CellCounters& Counters() const { return m_counters; }
+  std::size_t RunningCount() const { return m_running.size(); }
+  /// @return true when nothing waits or runs
+  bool IsIdle() const { return m_queue.Size() == 0 && m_running.empty(); }
+
+ private:
+  struct Running {
+    InstanceId home;
+    BackendId backend;
+    Tokens tokens;
+    Fingerprint content;
+    bool is_alone = false;
+    bool is_death_counted = false;
+  };
+  using TierMap = std::map<TierName, TierConfig>;
+  using OrganisationMap = std::unordered_map<OrganisationId, OrganisationConfig>;
+  using RunKey = std::pair<RequestId, std::uint64_t>;  ///< numbers of other owners may recur
+
+  const TierConfig* FindTier(const TierName& name) const;
+  const OrganisationConfig* FindOrganisation(const OrganisationId& id) const;
+  std::optional<TierRank> LowestRank() const;
+  bool HasOrderChanged(const TierMap& old_tiers, const OrganisationMap& old_organisations) const;
+  void RebuildQueue();
+
+  void Admit(const InstanceId& home, const Reservation& reservation, TimePoint now);
+  std::optional<ErrorKind> CheckAdmission(const Reservation& reservation, TimePoint now);
+  bool IsInfeasible(const Reservation& reservation) const;
+  bool IsOverOrganisationLimit(const Reservation& reservation, TierRank rank, TimePoint now);
+  void Refuse(const InstanceId& home, const Reservation& reservation, ErrorKind kind);
+  void RefuseAll(const std::vector<WaitingItem>& items, ErrorKind kind);
+
+  void HandleOverflow(TimePoint now);
+  bool IsOver(TierRank rank) const;
+  void ShedTier(TierRank rank);
+  void AskFloor(TierRank rank, TimePoint now);
+  void SendFloorAsk(TimePoint now);
+
+  void Schedule(TimePoint now);
+  bool GrantNext(TimePoint now);
+  void Grant(RequestId id, const BackendId& backend, bool is_alone, TimePoint now);
+  void AddRunning(RunKey key, Running running);
+  void EndRunning(std::map<RunKey, Running>::iterator place);
+  void CountDeath(const ReleaseMessage& release, const Running* ended, TimePoint now);
+  void DropHome(const InstanceId& home);
+  BackendLoad::Demand DemandOf(const Reservation& reservation, TimePoint now) const;
+
+  CellId m_id;
+  QueuePolicy m_policy;
+  std::uint64_t m_next_number;
+  Suspects& m_suspects;
+  CellQueue m_queue;
+  BackendLoad m_load;
+  ShedFloor m_floor;
+  FloorMembers m_members;
+  TimePoint m_floor_sent_at;
+  TimePoint m_drifted_at;
+  TierMap m_tiers;
+  std::map<TierRank, std::int64_t> m_bounds;  ///< bytes, of the tiers configured
+  OrganisationMap m_organisations;
+  std::map<RunKey, Running> m_running;
+  std::size_t m_suspects_running = 0;
+  std::vector<CellAction> m_actions;
+  CellCounters m_counters;
+};
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/policy/shed-floor.cc
@@ -0,0 +1,60 @@
+#include "policy/shed-floor.h"
+
+namespace bluebellpass {
+
+FloorMembers MembersToAsk(const std::vector<Member>& members) {
+  FloorMembers result;
+  for (const Member& member : members) {
+    if (member.state == MemberState::kDead || member.state == MemberState::kLeft) continue;
+    result.emplace(member.info.id, member.info.incarnation);
+  }
+  return result;
+}
+
+void ShedFloor::Ask(std::uint64_t round, TierRank rank, FloorMembers members, TimePoint now) {
+  m_round = round;
+  m_rank = rank;
+  m_asked_at = now;
+  m_members = std::move(members);
+  m_acknowledged.clear();
+}
+
+bool ShedFloor::OnAck(const InstanceId& from, std::uint64_t round, TimePoint now) {
+  if (m_round == 0 || round != m_round || !m_members.contains(from)) return false;
+  if (!m_acknowledged.insert(from).second) return false;
+  return Held(now).has_value();
+}
+
+void ShedFloor::OnMembers(const FloorMembers& members) {
+  for (const auto& [id, incarnation] : m_members) {
+    const auto place = members.find(id);
+    if (place == members.end() || place->second != incarnation) m_acknowledged.erase(id);
+  }
+  m_members = members;
+}
+
+std::optional<TierRank> ShedFloor::Asked(TimePoint now) const {
+  if (m_round == 0 || now - m_asked_at >= kFloorReliedOn) return std::nullopt;
+  return m_rank;
+}
+
+std::optional<TierRank> ShedFloor::Held(TimePoint now) const {
+  // An empty view is not a complete one: this instance itself is always a member.
+  if (m_members.empty() || m_acknowledged.size() != m_members.size()) return std::nullopt;
+  return Asked(now);
+}
+
+bool ShedFloor::MayShed(TierRank tier, TimePoint now) const {
+  const std::optional<TierRank> held = Held(now);
+  return held.has_value() && *held <= tier;
+}
+
+std::vector<InstanceId> ShedFloor::Missing() const {
+  std::vector<InstanceId> missing;
+  for (const auto& [id, incarnation] : m_members) {
+    if (!m_acknowledged.contains(id)) missing.push_back(id);
+  }
+  return missing;
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/test/owner-task-test.cc
@@ -0,0 +1,155 @@
+#include "owner/owner-task.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace bluebellpass {
+namespace {
+
+const InstanceId kSelf{"self"};
+const InstanceId kPeer{"peer"};
+const CellId kCell{.pool = PoolName("p"), .region = Region("r")};
+
+/// Runs nothing by itself; time moves by hand.
+class ManualTimers : public TimerService {
+ public:
+  TimePoint Now() const override { return now; }
+  TimerId After(Millis /*delay*/, std::function<void()> function) override {
+    pending = std::move(function);
+    return ++m_last;
+  }
+  void Cancel(TimerId /*id*/) override {}
+  void Advance(Millis time) {
+    now += time;
+    const auto function = std::exchange(pending, {});
+    if (function) function();
+  }
+
+  TimePoint now{Millis{1000000}};
+  std::function<void()> pending;
+
+ private:
+  TimerId m_last = 0;
+};
+
+class RecordingNetwork : public PeerNetwork {
+ public:
+  RecordingNetwork() {
+    self.id = kSelf;
+    members = {{.info = {.id = kSelf, .region = kCell.region}}, {.info = {.id = kPeer}}};
+  }
+  const InstanceInfo& Self() const override { return self; }
+  bool Send(const InstanceId& to, const PeerMessage& message) override {
+    if (!is_linked && to != kSelf) return false;
+    sent.emplace_back(to, message);
+    return true;
+  }
+  std::vector<Member> Members() const override { return members; }
+  bool IsLinked(const InstanceId& peer) const override { return is_linked || peer == kSelf; }
+  void SetStatus(const PeerStatus& /*status*/) override {}
+  void Leave() override {}
+  void AddListener(PeerListener* /*listener*/) override {}
+
+  template <class Message>
+  int Count(const InstanceId& to) const {
+    return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const auto& row) {
+      return row.first == to && std::holds_alternative<Message>(row.second);
+    }));
+  }
+
+  InstanceInfo self;
+  std::vector<Member> members;
+  bool is_linked = true;
+  std::vector<std::pair<InstanceId, PeerMessage>> sent;
+};
+
+struct Fixture {
+  ManualTimers timers;
+  RecordingNetwork network;
+  OwnerTask owner{network, timers};
+
+  void Configure() {
+    VersionedConfig config;
+    config.config.tiers = {{.name = TierName("t")}};
+    config.config.backends = {{.id = BackendId("b"),
+                               .kind = "engine",
+                               .pool = kCell.pool,
+                               .region = kCell.region,
+                               .slots = 1}};
+    owner.OnConfigApplied(config);
+  }
+  void Reserve(const InstanceId& home, const std::string& id) {
+    owner.OnPeerMessage(home, ReserveMessage{{.id = RequestId(id),
+                                              .pool = kCell.pool,
+                                              .region = kCell.region,
+                                              .tier = TierName("t"),
+                                              .prompt_tokens = Tokens(10),
+                                              .content = Fingerprint(7),
+                                              .bytes = 10,
+                                              .remaining = Millis{5000}}});
+  }
+};
+
+}  // namespace
+
+// Guards against reservations lost before the first configuration, and deadlines without a tick.
+BOOST_FIXTURE_TEST_CASE(GrantsAndExpires, Fixture) {
+  Reserve(kPeer, "early");
+  BOOST_TEST(network.sent.empty());
+  Configure();
+  BOOST_TEST(network.Count<GrantMessage>(kPeer) == 1);
+  Reserve(kPeer, "waits");
+  BOOST_TEST(owner.Waiting().size() == 1);
+  BOOST_TEST(owner.Backends().at(0).backend.slots_used == 1);
+  BOOST_TEST(owner.Counters().granted_tokens.at(TierName("t")) == 10);
+  timers.Advance(Millis{5000});
+  BOOST_TEST(network.Count<RefuseMessage>(kPeer) == 1);
+}
+
+// Guards against capacity that stays taken by a home that cannot be reached.
+BOOST_FIXTURE_TEST_CASE(FailedSendDropsHome, Fixture) {
+  Configure();
+  network.is_linked = false;
+  Reserve(kPeer, "lost");
+  BOOST_TEST(owner.Backends().at(0).backend.slots_used == 0);
+  Reserve(kSelf, "own");
+  BOOST_TEST(network.Count<GrantMessage>(kSelf) == 1);
+  owner.OnLinkDown(kSelf);
+  BOOST_TEST(owner.Backends().at(0).backend.slots_used == 0);
+}
+
+// Guards against refusals by an instance that no longer owns the cell, and against state it keeps.
+BOOST_FIXTURE_TEST_CASE(YieldsSilently, Fixture) {
+  Configure();
+  Reserve(kPeer, "x");
+  Reserve(kPeer, "y");
+  const std::size_t sent = network.sent.size();
+  network.members.front().info.is_leaving = true;
+  owner.OnMembersChanged();
+  BOOST_TEST(owner.Waiting().empty());
+  BOOST_TEST(owner.Backends().empty());
+  BOOST_TEST(network.sent.size() == sent);
+}
+
+// Guards against suspects and releases that other instances do not learn of.
+BOOST_FIXTURE_TEST_CASE(SpreadsQuarantine, Fixture) {
+  Configure();
+  const ReleaseMessage death{.cell = kCell,
+                             .id = RequestId("x"),
+                             .backend = BackendId("b"),
+                             .reason = ReleaseReason::kBackendLost,
+                             .content = Fingerprint(7)};
+  owner.OnPeerMessage(kPeer, death);
+  owner.OnPeerMessage(kPeer, death);
+  BOOST_TEST(owner.IsQuarantined(Fingerprint(7)));
+  BOOST_TEST(network.Count<QuarantineMessage>(kPeer) == 2);
+  Reserve(kPeer, "again");
+  BOOST_TEST(network.Count<RefuseMessage>(kPeer) == 1);
+  BOOST_TEST(owner.Release(Fingerprint(7)));
+  BOOST_TEST(!owner.IsQuarantined(Fingerprint(7)));
+  BOOST_TEST(network.Count<QuarantineMessage>(kPeer) == 3);
+  owner.OnLinkUp(kPeer, Incarnation(2));
+  BOOST_TEST(network.Count<QuarantineMessage>(kPeer) == 4);
+}
+
+}  // namespace bluebellpass
