--- a/include/bluebellpass/peer.h
+++ b/include/bluebellpass/peer.h
@@ -18,7 +18,7 @@
   PoolName pool;
   Region region;
 
-  auto operator<=>(const CellId&) const = default;
+  auto operator<=>(const CellId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 /// Waiting work, as its owner needs to know it.
