--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,312 @@
+#include "config/settings.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <ostream>
+
+#include "config/address.h"
+
+namespace bluebellpass {
+namespace {
+
+constexpr std::string_view kPrefix = "BLUEBELLPASS_";
+constexpr std::string_view kClientVariable = "BLUEBELLPASS_ENTRY";  // Read by operators' commands.
+constexpr std::size_t kMinKeyLength = 16;
+constexpr std::int64_t kMinBodyBytes = 1024;
+constexpr std::int64_t kMaxBodyBytes = 16LL << 20U;
+
+constexpr std::string_view kNameText = "1 to 64 letters, digits, '-' or '_'";
+constexpr std::string_view kListenText = "an IPv4 address and a port, as in 10.0.0.1:8080";
+constexpr std::string_view kEndpointText = "an IPv4 address other than 0.0.0.0 and a port above 0";
+
+constexpr std::array kSettings = {
+    SettingInfo{"--instance", "required", kNameText, "name of this instance"},
+    SettingInfo{"--data-centre", "required", kNameText, "data centre of this instance"},
+    SettingInfo{"--region", "required", kNameText, "region of this instance"},
+    SettingInfo{"--listen", "required", kListenText, "address of the callers' HTTP interface"},
+    SettingInfo{"--advertise", "--listen", kEndpointText, "address told to callers"},
+    SettingInfo{"--peer-listen", "required", kListenText, "address for other instances"},
+    SettingInfo{"--peer-advertise", "--peer-listen", kEndpointText,
+                "address told to other instances"},
+    SettingInfo{"--seed", "none", kEndpointText, "peer address of another instance", true},
+    SettingInfo{"--object-api", "required", kEndpointText, "address of the object API"},
+    SettingInfo{"--peer-key", "required", "16 or more printable characters without a comma",
+                "shared key of the instances; the first signs, all are accepted", true, true},
+    SettingInfo{"--policy", "fair", "fair, round-robin or static", "how work is granted"},
+    SettingInfo{"--log-level", "info", "debug, info, warning or error", "lowest severity logged"},
+    SettingInfo{"--max-body-bytes", "4194304", "1024 to 16777216",
+                "longest request body, in bytes"},
+    SettingInfo{"--stop-timeout-s", "30", "1 to 600", "longest graceful shutdown, in seconds"},
+    SettingInfo{"--max-answer-memory-mb", "256", "16 to 16384",
+                "memory for answers kept for callers, in MiB"},
+    SettingInfo{"--check", "false", "true or false", "validate, print the settings and exit"},
+};
+
+const SettingInfo& InfoFor(std::string_view flag) {
+  return *std::find_if(kSettings.begin(), kSettings.end(),
+                       [&](const SettingInfo& info) { return info.flag == flag; });
+}
+
+std::vector<std::string> SplitAtCommas(const std::string& text) {
+  std::vector<std::string> parts;
+  std::size_t begin = 0;
+  for (std::size_t comma = text.find(','); comma != std::string::npos;
+       comma = text.find(',', begin)) {
+    parts.push_back(text.substr(begin, comma - begin));
+    begin = comma + 1;
+  }
+  parts.push_back(text.substr(begin));
+  return parts;
+}
+
+/// Values of all settings with the checks of their types. After a fault it returns defaults.
+class Values {
+ public:
+  Values(std::map<std::string, std::vector<std::string>> flags, const Environment& environment)
+      : m_values(std::move(flags)) {
+    for (const SettingInfo& info : kSettings) {
+      auto& values = m_values[std::string(info.flag)];
+      m_names[std::string(info.flag)] = info.flag;
+      const std::string variable = EnvironmentName(info.flag);
+      const auto found = environment.find(variable);
+      if (values.empty() && found != environment.end()) {
+        values = info.is_repeatable ? SplitAtCommas(found->second)
+                                    : std::vector<std::string>{found->second};
+        m_names[std::string(info.flag)] = variable;
+      }
+      if (values.size() > 1 && !info.is_repeatable) Refuse(info.flag, values.back(), "given once");
+    }
+  }
+
+  const std::optional<Error>& Fault() const { return m_fault; }
+
+  const std::vector<std::string>& All(std::string_view flag) {
+    const auto& values = m_values[std::string(flag)];
+    if (values.empty() && InfoFor(flag).default_value == "required") {
+      Fail(flag, std::string(flag) + " (or " + EnvironmentName(flag) +
+                     ") is required: " + std::string(InfoFor(flag).allowed));
+    }
+    return values;
+  }
+
+  /// @return the value or an empty string
+  std::string One(std::string_view flag) {
+    const auto& values = All(flag);
+    return values.empty() ? std::string() : values.back();
+  }
+  bool Has(std::string_view flag) { return !All(flag).empty(); }
+
+  std::string Name(std::string_view flag) {
+    std::string text = One(flag);
+    if (Has(flag) && !IsValidName(text)) Refuse(flag, text, InfoFor(flag).allowed);
+    return text;
+  }
+
+  Address ToAddress(std::string_view flag, const std::string& text, bool is_listening) {
+    const Result<Address> parsed = ParseAddress(text);
+    if (IsOk(parsed)) {
+      const Address& address = std::get<0>(parsed);
+      if (is_listening || (address.port != 0 && address.ip != "0.0.0.0")) return address;
+    }
+    Refuse(flag, text, InfoFor(flag).allowed);
+    return {};
+  }
+  Address Listening(std::string_view flag) {
+    return Has(flag) ? ToAddress(flag, One(flag), true) : Address{};
+  }
+  Address Endpoint(std::string_view flag) {
+    return Has(flag) ? ToAddress(flag, One(flag), false) : Address{};
+  }
+  /// @return the address to tell others: the one set, or else the listening one
+  Address Advertised(std::string_view flag, const Address& listening) {
+    if (Has(flag)) return Endpoint(flag);
+    if (listening.ip == "0.0.0.0")
+      Refuse(flag, "", "set when the listening address is 0.0.0.0, which callers cannot use");
+    return listening;
+  }
+
+  std::int64_t Integer(std::string_view flag, std::int64_t fallback, std::int64_t low,
+                       std::int64_t high) {
+    if (!Has(flag)) return fallback;
+    const std::string text = One(flag);
+    std::int64_t value = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_number = code == std::errc{} && end == text.data() + text.size();
+    if (is_number && value >= low && value <= high) return value;
+    Refuse(flag, text, InfoFor(flag).allowed);
+    return fallback;
+  }
+
+  template <std::size_t kSize>
+  std::size_t Choice(std::string_view flag, const std::array<std::string_view, kSize>& choices,
+                     std::size_t fallback) {
+    if (!Has(flag)) return fallback;
+    const std::string text = One(flag);
+    const auto* found = std::find(choices.begin(), choices.end(), text);
+    if (found != choices.end()) return static_cast<std::size_t>(found - choices.begin());
+    Refuse(flag, text, InfoFor(flag).allowed);
+    return fallback;
+  }
+
+  std::vector<std::string> Keys(std::string_view flag) {
+    std::vector<std::string> keys = All(flag);
+    const bool is_valid = std::all_of(keys.begin(), keys.end(), [](const std::string& key) {
+      return key.size() >= kMinKeyLength && std::all_of(key.begin(), key.end(), [](char c) {
+               return c > ' ' && c < '\x7f' && c != ',';
+             });
+    });
+    if (!is_valid) Refuse(flag, "", InfoFor(flag).allowed);
+    return keys;
+  }
+
+  /// Records that a value is not allowed. Secret values are not repeated.
+  void Refuse(std::string_view flag, const std::string& value, std::string_view allowed) {
+    const std::string shown = InfoFor(flag).is_secret ? "(hidden)" : "\"" + value + "\"";
+    Fail(flag,
+         m_names[std::string(flag)] + " is " + shown + "; it must be " + std::string(allowed));
+  }
+
+ private:
+  void Fail(std::string_view flag, std::string message) {
+    if (!m_fault)
+      m_fault = Error{ErrorKind::kBadRequest, std::move(message), m_names[std::string(flag)]};
+  }
+
+  std::map<std::string, std::vector<std::string>> m_values;
+  std::map<std::string, std::string> m_names;  ///< flag to the flag or variable it came from
+  std::optional<Error> m_fault;
+};
+
+constexpr std::array<std::string_view, 3> kPolicies = {"fair", "round-robin", "static"};
+constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 2> kBooleans = {"false", "true"};
+
+std::optional<Error> FindUnknownVariable(const Environment& environment) {
+  for (const auto& variable : environment) {
+    const std::string& name = variable.first;
+    const auto has_name = [&](const SettingInfo& info) {
+      return EnvironmentName(info.flag) == name;
+    };
+    if (!name.starts_with(kPrefix) || name == kClientVariable ||
+        std::any_of(kSettings.begin(), kSettings.end(), has_name))
+      continue;
+    // The value is left out: it may be a secret under a misspelt name.
+    return Error{ErrorKind::kBadRequest,
+                 name + " is not a known setting; docs/settings.md lists those allowed", name};
+  }
+  return std::nullopt;
+}
+
+Settings Convert(Values& values) {
+  Settings settings;
+  settings.instance = InstanceId(values.Name("--instance"));
+  settings.data_centre = DataCentre(values.Name("--data-centre"));
+  settings.region = Region(values.Name("--region"));
+  settings.listen = values.Listening("--listen");
+  settings.advertise = values.Advertised("--advertise", settings.listen);
+  settings.peer_listen = values.Listening("--peer-listen");
+  settings.peer_advertise = values.Advertised("--peer-advertise", settings.peer_listen);
+  for (const std::string& seed : values.All("--seed"))
+    settings.seeds.push_back(values.ToAddress("--seed", seed, false));
+  settings.object_api = values.Endpoint("--object-api");
+  settings.peer_keys = values.Keys("--peer-key");
+  settings.policy = static_cast<PolicyKind>(values.Choice("--policy", kPolicies, 0));
+  settings.log_level = static_cast<Severity>(values.Choice("--log-level", kLevels, 1));
+  settings.max_body_bytes = static_cast<std::size_t>(
+      values.Integer("--max-body-bytes", 4LL << 20U, kMinBodyBytes, kMaxBodyBytes));
+  settings.stop_timeout = std::chrono::seconds(values.Integer("--stop-timeout-s", 30, 1, 600));
+  settings.max_answer_memory_bytes =
+      static_cast<std::size_t>(values.Integer("--max-answer-memory-mb", 256, 16, 16384)) << 20U;
+  settings.is_check = values.Choice("--check", kBooleans, 0) == 1;
+  return settings;
+}
+
+}  // namespace
+
+std::span<const SettingInfo> SettingsTable() { return kSettings; }
+
+std::string EnvironmentName(std::string_view flag) {
+  std::string name(kPrefix);
+  for (const char c : flag.substr(2))
+    name += c == '-' ? '_' : static_cast<char>(c >= 'a' && c <= 'z' ? c - 'a' + 'A' : c);
+  return name;
+}
+
+Environment ProcessEnvironment() {
+  Environment variables;
+  for (char** entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+    const std::string_view text(*entry);
+    const std::size_t equals = text.find('=');
+    if (text.starts_with(kPrefix) && equals != std::string_view::npos)
+      variables[std::string(text.substr(0, equals))] = text.substr(equals + 1);
+  }
+  return variables;
+}
+
+SettingsParser::SettingsParser(CLI::App& app) {
+  for (const SettingInfo& info : kSettings) {
+    const std::string flag(info.flag);
+    const std::string help = std::string(info.meaning) + " [" + EnvironmentName(flag) + "; " +
+                             std::string(info.allowed) + "; default " +
+                             std::string(info.default_value) + "]";
+    if (flag == "--check") {
+      app.add_flag(flag, m_is_check, help);
+    } else {
+      // One value for each occurrence, so that a repeated flag takes no positional words.
+      app.add_option(flag, m_flags[flag], help)->allow_extra_args(false);
+    }
+  }
+}
+
+Result<Settings> SettingsParser::Read(const Environment& environment) const {
+  if (auto error = FindUnknownVariable(environment)) return *std::move(error);
+  auto flags = m_flags;
+  if (m_is_check) flags["--check"] = {"true"};
+  Values values(std::move(flags), environment);
+  Settings settings = Convert(values);
+  if (values.Fault()) return *values.Fault();
+  return settings;
+}
+
+std::string DescribeSettings(const Settings& settings) {
+  std::string seeds;
+  for (const Address& seed : settings.seeds) seeds += (seeds.empty() ? "" : ",") + seed.Text();
+  const std::vector<std::pair<std::string_view, std::string>> rows = {
+      {"--instance", settings.instance.Text()},
+      {"--data-centre", settings.data_centre.Text()},
+      {"--region", settings.region.Text()},
+      {"--listen", settings.listen.Text()},
+      {"--advertise", settings.advertise.Text()},
+      {"--peer-listen", settings.peer_listen.Text()},
+      {"--peer-advertise", settings.peer_advertise.Text()},
+      {"--seed", seeds},
+      {"--object-api", settings.object_api.Text()},
+      {"--peer-key", "(hidden, " + std::to_string(settings.peer_keys.size()) + " set)"},
+      {"--policy", std::string(kPolicies.at(static_cast<std::size_t>(settings.policy)))},
+      {"--log-level", std::string(kLevels.at(static_cast<std::size_t>(settings.log_level)))},
+      {"--max-body-bytes", std::to_string(settings.max_body_bytes)},
+      {"--stop-timeout-s", std::to_string(settings.stop_timeout.count() / 1000)},
+      {"--max-answer-memory-mb", std::to_string(settings.max_answer_memory_bytes >> 20U)},
+      {"--check", settings.is_check ? "true" : "false"},
+  };
+  std::string text;
+  for (const auto& [flag, value] : rows) text += std::string(flag) + " " + value + "\n";
+  return text;
+}
+
+std::optional<int> ParseArguments(CLI::App& app, std::vector<std::string> args, std::ostream& out,
+                                  std::ostream& err) {
+  std::reverse(args.begin(), args.end());  // CLI11 takes the words from the back.
+  try {
+    app.parse(std::move(args));
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error, out, err);
+    return code == 0 ? 0 : 2;
+  }
+  return std::nullopt;
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <cstddef>
+#include <iosfwd>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bluebellpass/error.h"
+#include "bluebellpass/event.h"
+#include "bluebellpass/types.h"
+
+/// The process's own settings. docs/settings.md is their table for people.
+
+namespace bluebellpass {
+
+/// How owners grant backend servers; the last two are baselines for benchmarks.
+enum class PolicyKind { kFair, kRoundRobin, kStatic };
+
+/// Settings of one entry daemon.
+struct Settings {
+  InstanceId instance;
+  DataCentre data_centre;
+  Region region;
+  Address listen;     ///< callers' HTTP; port 0 takes a free port
+  Address advertise;  ///< told to callers; equals `listen` unless set
+  Address peer_listen;
+  Address peer_advertise;
+  std::vector<Address> seeds;  ///< peer addresses of other instances
+  Address object_api;
+  std::vector<std::string> peer_keys;  ///< secret; the first signs, all are accepted
+  PolicyKind policy = PolicyKind::kFair;
+  Severity log_level = Severity::kInfo;
+  std::size_t max_body_bytes = 4U << 20U;
+  Millis stop_timeout{30'000};
+  std::size_t max_answer_memory_bytes = 256U << 20U;
+  bool is_check = false;  ///< validate, print and exit
+};
+
+/// What a user must know about one setting.
+struct SettingInfo {
+  std::string_view flag;           ///< with the dashes
+  std::string_view default_value;  ///< "required" when there is none
+  std::string_view allowed;
+  std::string_view meaning;
+  bool is_repeatable = false;
+  bool is_secret = false;
+};
+
+/// @return the table of all settings
+std::span<const SettingInfo> SettingsTable();
+
+/// @return the environment variable of a flag, as in BLUEBELLPASS_PEER_KEY for --peer-key
+std::string EnvironmentName(std::string_view flag);
+
+/// Variables by name.
+using Environment = std::map<std::string, std::string>;
+
+/// @return the variables of this process that begin with BLUEBELLPASS_
+Environment ProcessEnvironment();
+
+/// Attaches the settings to a command and reads them after it was parsed.
+class SettingsParser {
+ public:
+  /// @param app the `serve` command; must outlive the parser
+  explicit SettingsParser(CLI::App& app);
+  SettingsParser(const SettingsParser&) = delete;
+  SettingsParser& operator=(const SettingsParser&) = delete;
+
+  /// Combines flags, environment and defaults; a flag takes precedence over its variable.
+  /// @return the settings, or kBadRequest with the flag or variable in Error::field. The message
+  /// gives the value, unless it is secret, and what is allowed.
+  Result<Settings> Read(const Environment& environment) const;
+
+ private:
+  std::map<std::string, std::vector<std::string>> m_flags;
+  bool m_is_check = false;
+};
+
+/// @return the settings, one "flag value" a line, with secrets hidden
+std::string DescribeSettings(const Settings& settings);
+
+/// Parses a command line without exceptions.
+/// @param args words after the program's name
+/// @return the exit code when the program must end now: 0 after help, 2 for a usage error
+std::optional<int> ParseArguments(CLI::App& app, std::vector<std::string> args, std::ostream& out,
+                                  std::ostream& err);
+
+}  // namespace bluebellpass
