Add the task that keeps the configuration current

Cause: instances need the newest configuration within seconds, must know how fresh it is before they dispatch, and operators' changes must be accepted exactly when they are written. Ruled out: polling by every instance (calls on the object API would grow with the fleet); resending a document from every instance that receives it in fleets above 16 members (messages would grow with the square); taking the loop's time inside NotePause, since the loop reports a pause before it updates its time and a read from before the pause would then count as one after it. Change: ConfigTask polls and watches from two instances of each data centre, spreads new versions, repairs peers that report an older one, and states the age of its last confirmed read. Change writes under the version it was based on with a unique token, and reads back after lost answers. A write that is not found is repeated under the same condition, which settles a delayed first one. Before: nothing. After: 12 test cases pass with a manual timer, among them lost requests, lost answers and delayed writes of a change. Conclusion: an older version is never applied, and of two conflicting changes one is written.

--- /dev/null
+++ b/test/config-task-test.cc
@@ -0,0 +1,376 @@
+#include "config/config-task.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+#include "bluebellpass/event.h"
+
+namespace bluebellpass {
+namespace {
+
+constexpr Millis kStep{10};
+constexpr Millis kStoreDelay{5};
+
+class ManualTimers : public TimerService {
+ public:
+  TimePoint Now() const override { return m_now; }
+  TimerId After(Millis delay, std::function<void()> function) override {
+    m_timers[{m_now + delay, ++m_last}] = std::move(function);
+    return m_last;
+  }
+  void Cancel(TimerId id) override {
+    std::erase_if(m_timers, [&](const auto& timer) { return timer.first.second == id; });
+  }
+  void Advance(Millis span) {
+    for (const TimePoint end = m_now + span; m_now < end; m_now += kStep) RunDue();
+    RunDue();
+  }
+
+ private:
+  void RunDue() {
+    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+      auto node = m_timers.extract(m_timers.begin());
+      node.mapped()();
+    }
+  }
+  TimePoint m_now{std::chrono::hours(100)};
+  TimerId m_last = 0;
+  std::map<std::pair<TimePoint, TimerId>, std::function<void()>> m_timers;
+};
+
+/// One object with versions; calls answer after a short delay or in the way set.
+class FakeStore : public ObjectStore {
+ public:
+  explicit FakeStore(ManualTimers& timers) : m_timers(timers) {}
+  enum class Fault { kNone, kUnavailable, kSilent, kLoseRequest, kLoseAnswer, kDelayWrite };
+
+  template <class Done, class T>
+  void Answer(Done done, T result) {
+    m_timers.After(kStoreDelay, [done, result] { done(result); });
+  }
+  void Get(const std::string& /*key*/, std::function<void(Result<Versioned>)> done) override {
+    ++gets;
+    if (fault == Fault::kSilent) return;
+    if (fault == Fault::kUnavailable) {
+      Answer(done, Result<Versioned>(Error{ErrorKind::kStoreUnavailable}));
+    } else {
+      Answer(done, version == 0 ? Result<Versioned>(Error{ErrorKind::kNotFound})
+                                : Result<Versioned>(Versioned{value, ObjectVersion(version)}));
+    }
+  }
+  void Put(const std::string& /*key*/, std::string text, ObjectVersion expected,
+           std::function<void(Result<ObjectVersion>)> done) override {
+    const Fault now = std::exchange(put_fault, Fault::kNone);
+    using R = Result<ObjectVersion>;
+    if (fault != Fault::kNone) return Answer(done, R(Error{ErrorKind::kStoreUnavailable}));
+    if (now == Fault::kDelayWrite) {
+      m_timers.After(Millis{700}, [this, text, expected] { Write(text, expected); });
+    }
+    if (now == Fault::kLoseRequest || now == Fault::kDelayWrite)
+      return Answer(done, R(Error{ErrorKind::kStoreUncertain}));
+    const bool is_written = Write(text, expected);
+    if (now == Fault::kLoseAnswer) return Answer(done, R(Error{ErrorKind::kStoreUncertain}));
+    Answer(done, is_written ? R(ObjectVersion(version)) : R(Error{ErrorKind::kConflict}));
+  }
+  void Delete(const std::string&, ObjectVersion, std::function<void(Result<Ok>)>) override {}
+  void List(const std::string&, std::function<void(Result<std::vector<ObjectEntry>>)>) override {}
+  void Watch(const std::string& /*key*/, ObjectVersion /*after*/, Millis /*wait*/,
+             std::function<void(Result<std::optional<Versioned>>)> /*done*/) override {
+    ++watches;  // Stays pending, so that the tests see what reads alone do.
+  }
+  bool Write(const std::string& text, ObjectVersion expected) {
+    if (expected.Value() != version) return false;
+    value = text;
+    ++version;
+    ++writes;
+    return true;
+  }
+
+  std::string value;
+  std::uint64_t version = 0;
+  Fault fault = Fault::kNone;
+  Fault put_fault = Fault::kNone;  ///< of the next write only
+  int gets = 0, watches = 0, writes = 0;
+
+ private:
+  ManualTimers& m_timers;
+};
+
+class FakeNetwork : public PeerNetwork {
+ public:
+  explicit FakeNetwork(const std::string& self) { Add(self); }
+  void Add(const std::string& id) {
+    members.push_back({.info = {.id = InstanceId(id), .data_centre = DataCentre("dc1")}});
+  }
+  const InstanceInfo& Self() const override { return members.front().info; }
+  bool Send(const InstanceId& to, const PeerMessage& message) override {
+    sent.emplace_back(to, std::get<ConfigMessage>(message).version);
+    return true;
+  }
+  std::vector<Member> Members() const override { return members; }
+  bool IsLinked(const InstanceId& peer) const override { return !unlinked.contains(peer.Text()); }
+  void SetStatus(const PeerStatus& now) override { status = now; }
+  void Leave() override {}
+  void AddListener(PeerListener*) override {}
+
+  std::vector<Member> members;
+  std::set<std::string> unlinked;
+  std::vector<std::pair<InstanceId, ObjectVersion>> sent;
+  PeerStatus status;
+};
+
+std::string Document(const std::string& tier) {
+  ClusterConfig config;
+  config.tiers.push_back({.name = TierName(tier)});
+  return FormatClusterConfig(config);
+}
+
+struct Applied : ConfigListener {
+  void OnConfigApplied(const VersionedConfig& config) override {
+    versions.push_back(config.version.Value());
+  }
+  std::vector<std::uint64_t> versions;
+};
+
+struct Fixture {
+  explicit Fixture(const std::string& self = "a", const std::vector<std::string>& others = {}) {
+    network.members.clear();
+    network.Add(self);
+    for (const std::string& id : others) network.Add(id);
+    store.value = Document("v1");
+    store.version = 1;
+    task.AddListener(&applied);
+    task.Start();
+    timers.Advance(Millis{20});
+  }
+  void Status(const std::string& peer, std::uint64_t version, Millis age) {
+    task.OnPeerStatus(InstanceId(peer), {ObjectVersion(version), true, age});
+  }
+  /// Begins a change that adds a tier; its result is written to `result`.
+  void AddTier(const std::string& name, std::uint32_t rank) {
+    task.Change(
+        [=](ClusterConfig config) -> Result<ClusterConfig> {
+          config.tiers.push_back({.name = TierName(name), .rank = TierRank(rank)});
+          return config;
+        },
+        [this](Result<ObjectVersion> done) { results.push_back(done); });
+  }
+  ErrorKind FailureAt(std::size_t index) { return ErrorOf(results.at(index)).kind; }
+
+  ManualTimers timers;
+  FakeStore store{timers};
+  FakeNetwork network{"a"};
+  Applied applied;
+  ConfigTask task{store, network, timers};
+  std::vector<Result<ObjectVersion>> results;
+};
+
+using Versions = std::vector<std::uint64_t>;
+
+/// Instance c, which is behind a and b and so reads the store only when their reports are old.
+struct ThirdFixture : Fixture {
+  ThirdFixture() : Fixture("c", {"a", "b"}) {}
+};
+
+}  // namespace
+
+// Guards against a reversion to an older version, from the store or from a peer.
+BOOST_FIXTURE_TEST_CASE(OlderVersionsAreNeverApplied, Fixture) {
+  task.OnPeerMessage(InstanceId("b"), ConfigMessage{ObjectVersion(5), Document("v5")});
+  task.OnPeerMessage(InstanceId("b"), ConfigMessage{ObjectVersion(4), Document("v4")});
+  task.OnPeerMessage(InstanceId("b"), ConfigMessage{ObjectVersion(5), Document("other")});
+  timers.Advance(Millis{3000});
+  BOOST_TEST(applied.versions == (Versions{1, 5}), boost::test_tools::per_element());
+  BOOST_TEST(task.Current().config.tiers.front().name.Text() == "v5");
+}
+
+// Guards against a partly applied or repeatedly reported invalid document.
+BOOST_FIXTURE_TEST_CASE(InvalidDocumentsAreRefusedWhole, Fixture) {
+  store.value = R"({"tiers":[{"name":"v2","rank":0}],"colour":1})";
+  store.version = 2;
+  const std::string before = RecordedEvents(0, 20'000);
+  timers.Advance(Millis{5000});
+  BOOST_TEST(task.Current().version.Value() == 1U);
+  BOOST_TEST(task.IsFresh());
+  const std::string events = RecordedEvents(0, 20'000).substr(before.size());
+  const std::size_t first = events.find("colour: is not a known field");
+  BOOST_REQUIRE(first != std::string::npos);
+  BOOST_TEST(events.find("colour: is not a known field", first + 1) == std::string::npos);
+  store.value = Document("v3");
+  store.version = 3;
+  timers.Advance(Millis{1500});
+  BOOST_TEST(task.Current().version.Value() == 3U);
+}
+
+// Guards against dispatch on a configuration that nothing has confirmed for 2 s.
+BOOST_FIXTURE_TEST_CASE(FreshnessEndsWithoutConfirmation, ThirdFixture) {
+  BOOST_TEST(task.IsFresh());
+  store.fault = FakeStore::Fault::kSilent;
+  timers.Advance(Millis{1900});
+  BOOST_TEST(task.IsFresh());
+  timers.Advance(Millis{300});
+  BOOST_TEST(!task.IsFresh());
+  Status("a", 1, Millis{1000});  // A read by a peer, 1.05 s ago at most.
+  BOOST_TEST(task.IsFresh());
+  timers.Advance(Millis{1000});
+  store.fault = FakeStore::Fault::kNone;
+  Status("a", 1, Millis{1960});
+  BOOST_TEST(network.status.store_age.count() >= 2000);
+}
+
+// Guards against a report about a newer version that confirms the older one held here, and against
+// waiting for a second report once that version has been applied.
+BOOST_FIXTURE_TEST_CASE(ReportOfANewerVersionCountsOnceApplied, ThirdFixture) {
+  store.fault = FakeStore::Fault::kSilent;
+  timers.Advance(Millis{2300});
+  Status("a", 2, Millis{0});
+  BOOST_TEST(!task.IsFresh());
+  task.OnPeerMessage(InstanceId("a"), ConfigMessage{ObjectVersion(2), Document("v2")});
+  BOOST_TEST(task.IsFresh());
+}
+
+// Guards against a minority that dispatches without the store, and against dead members that no
+// longer count, which would make each side of a partition a majority.
+BOOST_FIXTURE_TEST_CASE(WithoutTheStoreAMajorityIsNeeded, ThirdFixture) {
+  network.Add("d");
+  network.members.back().state = MemberState::kDead;
+  store.fault = FakeStore::Fault::kUnavailable;
+  timers.Advance(Millis{4000});
+  Status("a", 1, Millis{60'000});
+  BOOST_TEST(!task.IsFresh());  // 2 of 4
+  Status("b", 1, Millis{60'000});
+  BOOST_TEST(task.IsFresh());  // 3 of 4
+  Status("b", 2, Millis{60'000});
+  BOOST_TEST(!task.IsFresh());  // b knows a newer version.
+  Status("b", 1, Millis{60'000});
+  timers.Advance(Millis{2100});
+  BOOST_TEST(!task.IsFresh());
+}
+
+// Guards against dispatch after a pause on what was confirmed before it, or on heartbeats that
+// waited in a socket meanwhile.
+BOOST_FIXTURE_TEST_CASE(APauseRequiresANewConfirmation, ThirdFixture) {
+  const int gets = store.gets;
+  task.NotePause();
+  Status("a", 1, Millis{0});
+  BOOST_TEST(!task.IsFresh());
+  timers.Advance(Millis{0});
+  BOOST_TEST(store.gets == gets + 1);
+  Status("a", 1, Millis{0});
+  BOOST_TEST(!task.IsFresh());
+  timers.Advance(Millis{20});
+  BOOST_TEST(task.IsFresh());
+  store.fault = FakeStore::Fault::kUnavailable;
+  task.NotePause();
+  timers.Advance(Millis{60});
+  Status("a", 1, Millis{0});
+  Status("b", 1, Millis{0});
+  BOOST_TEST(!task.IsFresh());
+  task.OnLinkUp(InstanceId("a"), Incarnation(2));
+  timers.Advance(Millis{10});
+  Status("a", 1, Millis{0});
+  BOOST_TEST(task.IsFresh());  // By majority: the link is newer than the pause.
+}
+
+// Guards against calls on the object API that grow with the fleet.
+BOOST_FIXTURE_TEST_CASE(OnlyTwoInstancesOfADataCentrePoll, ThirdFixture) {
+  const int before = store.gets;
+  for (int i = 0; i < 20; ++i) {
+    Status("a", 1, Millis{500});
+    timers.Advance(Millis{500});
+  }
+  BOOST_TEST(store.gets == before);
+  BOOST_TEST(store.watches == 0);
+  network.members[1].state = MemberState::kDead;
+  task.OnMembersChanged();
+  timers.Advance(Millis{10'000});
+  BOOST_TEST(store.watches == 1);
+  BOOST_TEST(store.gets - before >= 9);
+  BOOST_TEST(store.gets - before <= 11);
+}
+
+// Guards against peers that keep an old version although a link stands.
+BOOST_FIXTURE_TEST_CASE(NewVersionsSpreadAndLaggardsAreRepaired, ThirdFixture) {
+  network.sent.clear();
+  network.unlinked = {"b"};
+  task.OnPeerMessage(InstanceId("a"), ConfigMessage{ObjectVersion(2), Document("v2")});
+  BOOST_TEST(network.sent.empty());  // a has it, b has no link.
+  Status("b", 1, Millis{0});
+  BOOST_REQUIRE_EQUAL(network.sent.size(), 1U);
+  BOOST_TEST(network.sent.front().second.Value() == 2U);
+  Status("b", 1, Millis{0});
+  BOOST_TEST(network.sent.size() == 1U);
+  timers.Advance(Millis{2000});
+  Status("b", 1, Millis{0});
+  BOOST_TEST(network.sent.size() == 2U);
+}
+
+// Guards against a change reported before it is written, or before the members have it.
+BOOST_FIXTURE_TEST_CASE(AChangeWaitsForTheMembers, ThirdFixture) {
+  AddTier("new", 1);
+  timers.Advance(Millis{100});
+  BOOST_TEST(task.Current().version.Value() == 2U);
+  Status("a", 2, Millis{0});
+  BOOST_TEST(results.empty());
+  Status("b", 2, Millis{0});
+  BOOST_REQUIRE_EQUAL(results.size(), 1U);
+  BOOST_TEST(std::get<0>(results[0]).Value() == 2U);
+  AddTier("newer", 2);
+  timers.Advance(Millis{2900});
+  BOOST_TEST(results.size() == 1U);
+  timers.Advance(Millis{200});
+  BOOST_TEST(results.size() == 2U);
+}
+
+// Guards against two conflicting changes that both succeed or both fail.
+BOOST_FIXTURE_TEST_CASE(OfTwoConflictingChangesOneWins, Fixture) {
+  AddTier("first", 1);
+  AddTier("second", 1);
+  timers.Advance(Millis{1000});
+  BOOST_REQUIRE_EQUAL(results.size(), 2U);
+  BOOST_TEST(IsOk(results[0]) != IsOk(results[1]));
+  const Error& error = ErrorOf(IsOk(results[0]) ? results[1] : results[0]);
+  BOOST_TEST((error.kind == ErrorKind::kConflict));
+  BOOST_TEST(error.message.find("version 1, but version 2") != std::string::npos);
+  BOOST_TEST(store.writes == 1);
+}
+
+// Guards against guesses about a write whose answer was lost: it is found, repeated without a
+// second effect, or reported as uncertain.
+BOOST_AUTO_TEST_CASE(LostAnswersOfAChangeAreReadBack) {
+  using Fault = FakeStore::Fault;
+  for (const Fault fault : {Fault::kLoseAnswer, Fault::kLoseRequest, Fault::kDelayWrite}) {
+    Fixture fixture;
+    fixture.store.put_fault = fault;
+    fixture.AddTier("new", 1);
+    fixture.timers.Advance(Millis{5000});
+    BOOST_REQUIRE_EQUAL(fixture.results.size(), 1U);
+    BOOST_REQUIRE(IsOk(fixture.results[0]));
+    BOOST_TEST(std::get<0>(fixture.results[0]).Value() == 2U);
+    BOOST_TEST(fixture.store.writes == 1);
+  }
+  Fixture fixture;
+  fixture.store.put_fault = Fault::kLoseAnswer;
+  fixture.AddTier("new", 1);
+  fixture.store.fault = Fault::kUnavailable;
+  fixture.timers.Advance(Millis{11'000});
+  BOOST_REQUIRE_EQUAL(fixture.results.size(), 1U);
+  BOOST_TEST((fixture.FailureAt(0) == ErrorKind::kStoreUncertain));
+  fixture.AddTier("other", 1);
+  fixture.timers.Advance(Millis{100});
+  BOOST_REQUIRE_EQUAL(fixture.results.size(), 2U);
+  BOOST_TEST((fixture.FailureAt(1) == ErrorKind::kStoreUnavailable));
+}
+
+// Guards against an invalid result of an edit that reaches the store.
+BOOST_FIXTURE_TEST_CASE(AnInvalidChangeIsNotWritten, Fixture) {
+  AddTier("v1", 1);
+  timers.Advance(Millis{100});
+  BOOST_REQUIRE_EQUAL(results.size(), 1U);
+  BOOST_TEST((FailureAt(0) == ErrorKind::kInvalidConfig));
+  BOOST_TEST(ErrorOf(results[0]).field == "tiers[1].name");
+  BOOST_TEST(store.writes == 0);
+}
+
+}  // namespace bluebellpass
