Add the operators' language and client

Cause: operators had no way to query the fleet or to change the configuration. Ruled out: messages from Spirit's own description of the failed parser, which names types; each required part now notes what it expects. Sending a command to the next entry after a lost reply, since it may have taken effect. Before: nothing.

--- /dev/null
+++ b/src/cli/command.cc
@@ -0,0 +1,79 @@
+#include "cli/command.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+#include "cli/grammar.h"
+
+namespace bluebellpass {
+namespace {
+
+constexpr std::array<std::string_view, 7> kTopics = {
+    "waiting", "running", "refused", "backends", "instances", "config", "quarantine"};
+constexpr std::size_t kMaxShownWord = 40;
+constexpr int kHexBase = 16;
+constexpr std::size_t kFingerprintDigits = 16;
+
+bool IsSpace(char c) { return c == ' ' || (c >= '\t' && c <= '\r'); }
+
+/// @return the word at a position, short and printable
+std::string WordAt(std::string_view text, std::size_t position) {
+  std::string word;
+  for (; position < text.size() && !IsSpace(text[position]); ++position) {
+    if (word.size() == kMaxShownWord) return word + "...";
+    word += text[position] > ' ' && text[position] < '\x7f' ? text[position] : '?';
+  }
+  return word;
+}
+
+Error MakeError(std::string_view text, std::size_t position, const std::string& expected) {
+  while (position < text.size() && IsSpace(text[position])) ++position;
+  const std::string word = WordAt(text, position);
+  const std::string found = word.empty() ? "the end" : "'" + word + "'";
+  return {ErrorKind::kBadCommand,
+          "column " + std::to_string(position + 1) + ": expected " + expected + ", found " + found,
+          word};
+}
+
+}  // namespace
+
+Result<Command> ParseCommand(std::string_view text, std::size_t* column) {
+  if (text.size() > kMaxCommandBytes) {
+    if (column != nullptr) *column = kMaxCommandBytes + 1;
+    return Error{ErrorKind::kBadCommand, "column 4097: a command has at most 4096 bytes", ""};
+  }
+  detail::Fault fault;
+  if (auto command = detail::ParseGrammar(text, fault)) return *std::move(command);
+  std::size_t position = fault.position;
+  while (position < text.size() && IsSpace(text[position])) ++position;
+  if (column != nullptr) *column = position + 1;
+  return MakeError(text, position, fault.expected);
+}
+
+std::string CaretLines(std::string_view text, std::size_t column) {
+  std::string line;
+  for (const char c : text.substr(0, kMaxCommandBytes)) line += c >= ' ' && c < '\x7f' ? c : ' ';
+  return line + "\n" + std::string(column > 0 ? column - 1 : 0, ' ') + "^\n";
+}
+
+bool IsConfigChange(const Command& command) {
+  return !std::holds_alternative<ShowCommand>(command) &&
+         !std::holds_alternative<ReleaseCommand>(command) &&
+         !std::holds_alternative<LoadCommand>(command);
+}
+
+std::string_view ShowTopicName(ShowTopic topic) {
+  return kTopics.at(static_cast<std::size_t>(topic));
+}
+
+std::string FormatFingerprint(Fingerprint fingerprint) {
+  std::array<char, kFingerprintDigits> digits{};
+  const auto [end, code] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), fingerprint.Value(), kHexBase);
+  const std::string text(digits.data(), end);
+  return std::string(kFingerprintDigits - text.size(), '0') + text;
+}
+
+}  // namespace bluebellpass
