Close the connection when a response is aborted before its head

Cause: Abort before Start ended in a whole, empty response with status 500, because h2o sends the head of a response that fails before its first byte. A client could not tell a broken connection from a server's error answer. Ruled out: a head with a false content length; the client would still see a status that nobody sent. Change: Abort shuts the HTTP/1 socket down first, so that no byte of the head leaves. HTTP/2 connections carry other responses and are left open. Conclusion: an abort before the head is reported as kStoreUncertain.

--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -137,6 +137,8 @@
   void Abort() override {
     if (!IsOpen()) return;
     if (!m_is_started) {
+      // An empty response that ends in an error would reach the client as a whole one.
+      CutConnection();
       Start(500, {});
     }
     m_is_ended = true;
@@ -158,6 +160,14 @@
                           nullptr, value_copy.base, value_copy.len);
   }
 
+  /// Shuts an HTTP/1 connection down at once; h2o closes it at its next write. An HTTP/2 connection
+  /// carries other responses too and is left open.
+  void CutConnection() {
+    if (m_req->version >= 0x200) return;
+    h2o_socket_t* socket = m_req->conn->callbacks->get_socket(m_req->conn);
+    if (socket != nullptr) shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+  }
+
   /// Gathers the writes of one turn of the loop into one buffer.
   void ScheduleFlush() {
     if (m_is_flush_scheduled || m_is_sending) return;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -96,6 +96,18 @@
   BOOST_REQUIRE(RunUntil([&] { return is_done; }));
 }
 
+// Guards against an abort before the head that reaches the client as a whole, empty response.
+BOOST_FIXTURE_TEST_CASE(AbortBeforeHeadIsNotAReply, Fixture) {
+  handler = [](HttpRequest, std::shared_ptr<HttpResponder> responder) { responder->Abort(); };
+  bool is_done = false;
+  client.Fetch({.address = address}, [&](Result<HttpReply> result) {
+    is_done = true;
+    BOOST_REQUIRE(!IsOk(result));
+    BOOST_TEST((ErrorOf(result).kind == ErrorKind::kStoreUncertain));
+  });
+  BOOST_REQUIRE(RunUntil([&] { return is_done; }));
+}
+
 // Guards against use of a connection after its client has gone.
 BOOST_FIXTURE_TEST_CASE(ClientThatGoesIsNoticed, Fixture) {
   std::shared_ptr<HttpResponder> open;
