Add stand-ins for the object API, the model engine and plain services

Cause: the modules are tested against outside systems that may not be run here; they are met by their published protocol, with their faults. Ruled out: one program with all roles (each is started, stopped and crashed alone); threads (a test runs them on its own loop); evicting a prompt's blocks in the order of their use, which drops the first block, and with it the use of the rest, before the others. Change: test/standins/ with a class and a program for each: conditional updates, watches and lost answers; batching, resumable streams, prefix cache, delayed load reports, fencing and crashes; counted executions. Before: no stand-ins. Conclusion: ready for the tests of the store client, the drivers and the home.

--- /dev/null
+++ b/test/standins-test.cc
@@ -0,0 +1,228 @@
+#include <boost/test/unit_test.hpp>
+
+#include "kernel/http-client.h"
+#include "standins/engine.h"
+#include "standins/object-api.h"
+#include "standins/service.h"
+
+namespace bluebellpass {
+namespace {
+
+constexpr std::string_view kData = "data: ";
+using standin::Json;
+
+constexpr int kMaxTurns = 2000;
+
+struct Fixture {
+  Loop loop;
+  HttpClient client{loop};
+
+  template <class Condition>
+  bool RunUntil(Condition condition) {
+    for (int turn = 0; turn < kMaxTurns && !condition(); ++turn) loop.RunOnce(Millis{10});
+    return condition();
+  }
+
+  /// Waits for the end of a call; a lost answer has status 0.
+  HttpReply Call(HttpCallRequest request) {
+    HttpReply reply;
+    bool is_done = false;
+    client.Fetch(std::move(request), [&](Result<HttpReply> result) {
+      is_done = true;
+      if (IsOk(result)) reply = std::get<HttpReply>(result);
+    });
+    BOOST_REQUIRE(RunUntil([&] { return is_done; }));
+    return reply;
+  }
+
+  template <class Standin>
+  static Address Open(Standin& standin) {
+    return std::get<Address>(standin.Listen({"127.0.0.1", 0}));
+  }
+};
+
+/// Joins the deltas of a stream of events and notes how it ends.
+struct Transcript {
+  std::string text;
+  std::int64_t last = -1;
+  bool is_completed = false;
+
+  void Read(const std::string& body) {
+    for (std::size_t at = body.find(kData); at != std::string::npos; at = body.find(kData, at)) {
+      at += kData.size();
+      const std::size_t end = body.find("\n\n", at);
+      if (end == std::string::npos) return;
+      const Json event = Json::parse(body.substr(at, end - at));
+      BOOST_TEST(event["sequence_number"].get<std::int64_t>() == last + 1);
+      last = event["sequence_number"].get<std::int64_t>();
+      if (event.contains("delta")) text += event["delta"].get<std::string>();
+      if (event["type"] == "response.completed") is_completed = true;
+    }
+  }
+};
+
+HttpCallRequest Create(const Address& address, const std::string& input, int tokens) {
+  const Json body = {{"model", "m"},   {"input", input},     {"max_output_tokens", tokens},
+                     {"stream", true}, {"background", true}, {"metadata", {{"request_id", "r"}}}};
+  return {.address = address, .method = "POST", .path = "/v1/responses", .body = body.dump()};
+}
+
+}  // namespace
+
+// Guards against an update that overwrites one it has not seen, and against reused versions.
+BOOST_FIXTURE_TEST_CASE(ConditionalUpdate, Fixture) {
+  standin::ObjectApi api(loop);
+  const Address address = Open(api);
+  const auto put = [&](const std::string& header, const std::string& value) {
+    return Call({.address = address,
+                 .method = "PUT",
+                 .path = "/objects/a/b",
+                 .headers = {{header, value}},
+                 .body = "x" + value});
+  };
+  BOOST_TEST(put("if-none-match", "*").headers["etag"] == "\"1\"");
+  BOOST_TEST(put("if-none-match", "*").status == 412);
+  BOOST_TEST(put("if-match", "\"1\"").headers["etag"] == "\"2\"");
+  const HttpReply stale = put("if-match", "\"1\"");
+  BOOST_TEST(stale.status == 412);
+  BOOST_TEST(stale.headers.at("etag") == "\"2\"");
+  const HttpCallRequest remove{.address = address,
+                               .method = "DELETE",
+                               .path = "/objects/a/b",
+                               .headers = {{"if-match", "\"2\""}}};
+  BOOST_TEST(Call(remove).status == 204);
+  BOOST_TEST(Call(remove).status == 404);
+  BOOST_TEST(put("if-none-match", "*").headers["etag"] == "\"4\"");
+  const HttpReply read = Call({.address = address, .path = "/objects/a/b"});
+  BOOST_TEST(read.body == "x*");
+  const HttpReply list = Call({.address = address, .path = "/objects?prefix=a/"});
+  BOOST_TEST(list.body == R"({"objects":[{"key":"a/b","version":4}]})");
+}
+
+// Guards against a lost answer whose write has no effect, and against a fault that outlives its
+// count.
+BOOST_FIXTURE_TEST_CASE(LostAnswerTakesEffect, Fixture) {
+  standin::ObjectApi api(loop);
+  const Address address = Open(api);
+  const Json fault = {{"mode", "lose_answers"}, {"prefix", "ledger/"}, {"count", 1}};
+  BOOST_TEST(Call({.address = address, .method = "POST", .path = "/control", .body = fault.dump()})
+                 .status == 200);
+  const auto put = [&](const std::string& key) {
+    return Call({.address = address,
+                 .method = "PUT",
+                 .path = "/objects/" + key,
+                 .headers = {{"if-none-match", "*"}},
+                 .body = "claim"});
+  };
+  BOOST_TEST(put("config/main").status == 200);
+  BOOST_TEST(put("ledger/1").status == 0);
+  BOOST_TEST(Call({.address = address, .path = "/objects/ledger/1"}).body == "claim");
+  BOOST_TEST(put("ledger/2").status == 200);
+  BOOST_TEST(api.Log().size() == 3);
+}
+
+// Guards against calls that take effect, or get any answer, while the store is down.
+BOOST_FIXTURE_TEST_CASE(DownHasNoEffect, Fixture) {
+  standin::ObjectApi api(loop);
+  const Address address = Open(api);
+  api.SetFault({.mode = standin::ObjectApiFault::Mode::kDown});
+  const HttpReply lost = Call({.address = address,
+                               .method = "PUT",
+                               .path = "/objects/a",
+                               .headers = {{"if-none-match", "*"}},
+                               .body = "x"});
+  BOOST_TEST(lost.status == 0);
+  BOOST_TEST(api.Log().empty());
+}
+
+// Guards against a watch that misses a write, and one that never ends.
+BOOST_FIXTURE_TEST_CASE(WatchSeesWrite, Fixture) {
+  standin::ObjectApi api(loop);
+  const Address address = Open(api);
+  HttpReply seen;
+  client.Fetch({.address = address, .path = "/objects/a?after=0&wait_ms=60000"},
+               [&](Result<HttpReply> result) { seen = std::get<HttpReply>(result); });
+  BOOST_REQUIRE(RunUntil([&] { return api.Stats()["watches"] == 1; }));
+  api.Put("a", "new");
+  BOOST_REQUIRE(RunUntil([&] { return seen.status != 0; }));
+  BOOST_TEST(seen.body == "new");
+  BOOST_TEST(Call({.address = address, .path = "/objects/a?after=1&wait_ms=1"}).status == 304);
+}
+
+// Guards against a resumed stream that repeats or loses output after its connection broke.
+BOOST_FIXTURE_TEST_CASE(ResumedStreamIsWhole, Fixture) {
+  standin::Engine engine(loop, {.decode_rate = 2'000});
+  const Address address = Open(engine);
+  std::string first;
+  auto call = client.Start(
+      Create(address, "dossier", 400),
+      {.on_head = nullptr, .on_data = [&](auto bytes) { first += bytes; }, .on_end = nullptr});
+  BOOST_REQUIRE(RunUntil([&] { return first.find("delta") != std::string::npos; }));
+  call.reset();
+  Transcript transcript;
+  transcript.Read(first);
+  const std::string id = engine.Executions()[0]["id"];
+  const HttpReply rest = Call({.address = address,
+                               .path = "/v1/responses/" + id + "?stream=true&starting_after=" +
+                                       std::to_string(transcript.last)});
+  transcript.Read(rest.body);
+  BOOST_TEST(transcript.is_completed);
+  BOOST_TEST(transcript.text == standin::ExpectedAnswer("dossier", "r", 400));
+  BOOST_TEST(engine.Executions().size() == 1);
+  BOOST_TEST(engine.Executions()[0]["state"] == "done");
+}
+
+// Guards against a prefix cache that forgets, or that ignores its memory limit.
+BOOST_FIXTURE_TEST_CASE(PrefixIsCachedWithinLimit, Fixture) {
+  standin::Engine engine(loop, {.prefill_rate = 1e9, .decode_rate = 1e9, .cache_tokens = 256});
+  const Address address = Open(engine);
+  for (const char letter : {'a', 'a', 'b', 'a'}) {
+    BOOST_TEST(Call(Create(address, std::string(1000, letter), 4)).status == 200);
+  }
+  const Json executions = engine.Executions();
+  std::vector<std::int64_t> cached;
+  for (const Json& execution : executions) cached.push_back(execution["cached_tokens"]);
+  BOOST_TEST(cached == (std::vector<std::int64_t>{0, 192, 0, 64}),
+             boost::test_tools::per_element());
+}
+
+// Guards against an engine that serves on after the request that crashes it.
+BOOST_FIXTURE_TEST_CASE(CrashDropsConnections, Fixture) {
+  standin::Engine engine(loop, {});
+  const Address address = Open(engine);
+  BOOST_TEST(Call(Create(address, "CRASH-ENGINE", 4)).status == 0);
+  BOOST_TEST(Call({.address = address, .path = "/load"}).status == 0);
+}
+
+// Guards against an engine that obeys an order of a former owner.
+BOOST_FIXTURE_TEST_CASE(StaleOrderIsRefused, Fixture) {
+  standin::Engine engine(loop, {.is_checking_fencing = true});
+  const Address address = Open(engine);
+  const auto order = [&](int fencing) {
+    const Json body = {{"fencing", fencing}, {"order", "load_model"}, {"model", "m"}};
+    return Call({.address = address, .method = "POST", .path = "/v1/orders", .body = body.dump()});
+  };
+  BOOST_TEST(order(7).status == 200);
+  BOOST_TEST(order(6).status == 409);
+  BOOST_TEST(order(7).status == 200);
+}
+
+// Guards against a service that hides a second execution of a key.
+BOOST_FIXTURE_TEST_CASE(ServiceCountsExecutions, Fixture) {
+  standin::Service service(loop, {.delay = Millis{1}, .slots = 1});
+  const Address address = Open(service);
+  Json last;
+  for (int i = 0; i < 2; ++i) {
+    last = Json::parse(Call({.address = address,
+                             .method = "POST",
+                             .path = "/v1/calls",
+                             .headers = {{"idempotency-key", "k"}, {"x-request-id", "r"}},
+                             .body = "{}"})
+                           .body);
+  }
+  BOOST_TEST(last["executions"] == 2);
+  BOOST_TEST(last["confirmation"] == standin::ExpectedConfirmation("{}", "k"));
+  BOOST_TEST(service.Executions().size() == 2);
+}
+
+}  // namespace bluebellpass
