--- a/test/standins-test.cc
+++ b/test/standins-test.cc
@@ -3,6 +3,7 @@
 #include "kernel/http-client.h"
 #include "standins/engine.h"
 #include "standins/object-api.h"
+#include "standins/proxy.h"
 #include "standins/service.h"
 
 namespace bluebellpass {
@@ -225,4 +226,48 @@
   BOOST_TEST(service.Executions().size() == 2);
 }
 
+// Guards against a silenced connection that still carries bytes or shows its end, and against new
+// connections that do not work.
+BOOST_FIXTURE_TEST_CASE(SilentExistingSparesNewConnections, Fixture) {
+  standin::Engine engine(loop, {.decode_rate = 500});
+  standin::Proxy proxy(loop, Open(engine));
+  const Address address = Open(proxy);
+  std::string seen;
+  bool is_ended = false;
+  auto call = client.Start(Create(address, "dossier", 200),
+                           {.on_head = nullptr,
+                            .on_data = [&](auto bytes) { seen += bytes; },
+                            .on_end = [&](auto, const auto&) { is_ended = true; }});
+  BOOST_REQUIRE(RunUntil([&] { return seen.find("delta") != std::string::npos; }));
+  proxy.SetMode(standin::ProxyMode::kSilentExisting);
+  loop.RunOnce(Millis{0});
+  const std::size_t length = seen.size();
+  const std::string id = engine.Executions()[0]["id"];
+  const HttpReply whole =
+      Call({.address = address, .path = "/v1/responses/" + id + "?stream=true"});
+  Transcript transcript;
+  transcript.Read(whole.body);
+  BOOST_TEST(transcript.text == standin::ExpectedAnswer("dossier", "r", 200));
+  BOOST_TEST(seen.size() == length);
+  BOOST_TEST(!is_ended);
+  call.reset();
+}
+
+// Guards against bytes beyond the limit, and against a delay that reorders or loses bytes.
+BOOST_FIXTURE_TEST_CASE(DropAfterBytesResets, Fixture) {
+  standin::ObjectApi api(loop);
+  standin::Proxy proxy(loop, Open(api));
+  const Address address = Open(proxy);
+  api.Put("a", std::string(300'000, 'x') + "end");
+  proxy.SetDelay(Millis{2});
+  const HttpReply whole = Call({.address = address, .path = "/objects/a"});
+  BOOST_TEST(whole.body == std::string(300'000, 'x') + "end");
+  proxy.SetDropAfterBytes(1'000);
+  BOOST_TEST(Call({.address = address, .path = "/objects/a"}).status == 0);
+  proxy.SetDropAfterBytes(0);
+  proxy.SetMode(standin::ProxyMode::kCut);
+  BOOST_TEST(Call({.address = address, .path = "/objects/a"}).status == 0);
+  BOOST_TEST(proxy.Connections() == 0);
+}
+
 }  // namespace bluebellpass
