--- a/include/bluebellpass/types.h
+++ b/include/bluebellpass/types.h
@@ -91,7 +91,7 @@
   std::string ip;
   std::uint16_t port = 0;
 
-  auto operator<=>(const Address&) const = default;
+  auto operator<=>(const Address&) const = default;  // NOLINT(modernize-use-nullptr)
   /// @return "ip:port"
   std::string Text() const { return ip + ":" + std::to_string(port); }
 };
