Make the codec's shared table test reach the limit on text

Cause: in a trial without the charge for text in the decoder, the case SharedTablesAreErrors still passed: its 1,000 shared tables were refused by the charge for tables alone.

Change: 100 tables, which only the charge for text refuses.

Figures: without the charge the case now fails, with it the codec, membership and network tests pass.

Conclusion: the limit on copied text is covered by a test.

--- a/test/codec-test.cc
+++ b/test/codec-test.cc
@@ -182,7 +182,7 @@
 BOOST_AUTO_TEST_CASE(SharedTablesAreErrors) {
   flatbuffers::FlatBufferBuilder builder;
   const auto text = builder.CreateString(std::string(1000, 'x'));
-  const std::vector waiting(1000, wire::CreateReservationT(builder, text));
+  const std::vector waiting(100, wire::CreateReservationT(builder, text));
   const auto sync = wire::CreateSync(builder, 0, 0, builder.CreateVector(waiting));
   builder.Finish(wire::CreateFrame(builder, 1, wire::Body_Sync, sync.Union()));
   const auto* bytes = reinterpret_cast<const char*>(builder.GetBufferPointer());
