Add a load driver for tests

Cause: floods, goodput and fairness are measured by callers that behave as real ones: they take addresses and tickets, connect directly and resume answers. Ruled out: submitting a request again once bytes of it may have been received; only its answer is asked for then. Ending requests only when others arrive or finish: a trial against a closed port never ended, so they are also looked at each time the list of instances cannot be fetched. Change: LoadDriver and standin-load: seeded Poisson arrivals, bounded requests and connections, one result line per request, a summary per tier and organisation. Before: no driver. Conclusion: tried against a stub of the daemon only, not against the daemon.

--- a/test/standins-test.cc
+++ b/test/standins-test.cc
@@ -2,6 +2,7 @@
 
 #include "kernel/http-client.h"
 #include "standins/engine.h"
+#include "standins/load-driver.h"
 #include "standins/object-api.h"
 #include "standins/proxy.h"
 #include "standins/service.h"
@@ -270,4 +271,53 @@
   BOOST_TEST(proxy.Connections() == 0);
 }
 
+// Guards against a load driver that submits a request twice, loses part of an answer that breaks
+// off, or counts a refusal as a run.
+BOOST_FIXTURE_TEST_CASE(LoadResumesAnswers, Fixture) {
+  Address address;
+  std::map<std::string, std::string> prompts;
+  int submitted = 0;
+  const auto answer = [&](const std::string& id) {
+    return standin::ExpectedAnswer(prompts[id], id, 8);
+  };
+  HttpServer daemon(loop, {}, [&](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    if (request.path == "/v1/instances") {
+      const Json instance = {{"id", "a"}, {"address", address.Text()}, {"ticket", "a.1.1"}};
+      return standin::SendJson(*responder, 200,
+                               {{"valid_s", 5}, {"instances", Json::array({instance})}});
+    }
+    if (request.method == "GET") {
+      const std::string id = request.path.substr(std::string("/v1/requests/").size());
+      const std::size_t offset = std::stoul(request.Query("offset"));
+      const Json data = {{"offset", offset}, {"data", answer(id).substr(offset)}};
+      const Json end = {{"end", true}, {"outcome", "completed"}, {"length", 32}};
+      return responder->Send(200, {}, data.dump() + "\n" + end.dump() + "\n");
+    }
+    if (++submitted % 4 == 0) {
+      return standin::SendJson(*responder, 503,
+                               {{"end", true}, {"outcome", "not_run"}, {"error", "overloaded"}});
+    }
+    const std::string id = request.Header("bluebellpass-request-id");
+    BOOST_TEST(!prompts.contains(id));
+    prompts[id] = Json::parse(request.body)["prompt"];
+    responder->Start(200, {});
+    responder->Write(Json{{"offset", 0}, {"data", answer(id).substr(0, 10)}}.dump() + "\n");
+    loop.After(Millis{5}, [responder] { responder->Abort(); });
+  });
+  address = std::get<Address>(daemon.Listen({"127.0.0.1", 0}));
+  const auto experiment = standin::ParseExperiment(
+      R"({"verify": true, "max_requests": 8, "max_connections": 3, "streams": [{"organisation": "o",
+          "tier": "t", "pool": "p", "rate": 1000, "prompt_bytes": 50, "shared_prefix_bytes": 20,
+          "max_tokens": 8, "deadline_ms": 60000, "duration_s": 10}]})");
+  standin::LoadDriver driver(loop, std::get<standin::LoadExperiment>(experiment), {address});
+  driver.Start();
+  BOOST_REQUIRE(RunUntil([&] { return driver.IsDone(); }));
+  const Json total = driver.Summary()["tiers"]["t"]["organisations"]["o"];
+  BOOST_TEST(submitted == 8);
+  BOOST_TEST(total["sent"] == 8);
+  BOOST_TEST(total["completed"] == 6);
+  BOOST_TEST(total["not_run"]["overloaded"] == 2);
+  BOOST_TEST(total["wrong_answer"] == 0);
+}
+
 }  // namespace bluebellpass
