Satisfy the linter on names of constants

Cause: local constants were named like global ones. Ruled out: loosening the naming rules. Change: they are constants of their files now; no behaviour changes.

--- a/src/backend/sse-parser.cc
+++ b/src/backend/sse-parser.cc
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr std::size_t kMaxLineBytes = 4U << 20U;
+constexpr std::string_view kField = "data:";
 
 }  // namespace
 
@@ -29,7 +30,6 @@
     m_has_data = false;
     return;
   }
-  constexpr std::string_view kField = "data:";
   if (!line.starts_with(kField)) return;
   line.remove_prefix(kField.size());
   if (line.starts_with(' ')) line.remove_prefix(1);
--- a/src/cli/timeline.cc
+++ b/src/cli/timeline.cc
@@ -6,7 +6,6 @@
 #include <ctime>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <tuple>
 
 #include "kernel/http-client.h"
@@ -20,6 +19,8 @@
 
 constexpr unsigned kCounterBits = 16;
 constexpr Millis kTurn{50};
+constexpr std::array<std::string_view, 6> kLeadingMembers = {"n",     "time", "instance",
+                                                             "event", "name", "severity"};
 
 std::string WallTime(HybridTime time) {
   const auto millis = static_cast<std::int64_t>(time >> kCounterBits);
@@ -33,6 +34,11 @@
   return text.data();
 }
 
+/// @return true for the members of an event that its line begins with
+bool IsShownBefore(std::string_view member) {
+  return std::find(kLeadingMembers.begin(), kLeadingMembers.end(), member) != kLeadingMembers.end();
+}
+
 /// Reads all recorded events of one instance, page by page.
 class Collector {
  public:
@@ -120,14 +126,12 @@
 }
 
 std::string FormatTimeline(const std::vector<TimelineEvent>& events) {
-  static const std::set<std::string> kShown = {"n",     "time", "instance",
-                                               "event", "name", "severity"};
   std::string text;
   for (const TimelineEvent& event : events) {
     text += WallTime(event.time) + "  " + event.instance + "  " + event.name;
     const ordered_json object = ordered_json::parse(event.json);
     for (const auto& [name, value] : object.items()) {
-      if (!kShown.contains(name)) text += "  " + name + "=" + value.dump();
+      if (!IsShownBefore(name)) text += "  " + name + "=" + value.dump();
     }
     text += '\n';
   }
--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -28,13 +28,14 @@
 // Time to deliver the refusals of what was still waiting at the end of the stop's time.
 constexpr Millis kLastDelivery{1'000};
 
+constexpr unsigned kRandomBits = 20;
+
 volatile std::sig_atomic_t g_stop_signal = 0;
 
 void OnStopSignal(int number) { g_stop_signal = number; }
 
 /// Later incarnations of an instance are larger: milliseconds since 1970 above 20 random bits.
 Incarnation MakeIncarnation() {
-  constexpr unsigned kRandomBits = 20;
   std::array<unsigned char, 4> random{};
   RAND_bytes(random.data(), random.size());
   const std::uint64_t low = (std::uint64_t{random[0]} << 16U) | (std::uint64_t{random[1]} << 8U) |
--- a/src/front/http-front.cc
+++ b/src/front/http-front.cc
@@ -15,7 +15,7 @@
 constexpr char kJson[] = "application/json";
 // Callers keep the address list for a while; a leaving instance serves what comes in that time.
 constexpr int kAddressValiditySeconds = 30;
-// Tickets for other instances rely on the uptime last heard of, which may be a little old.
+constexpr std::size_t kMaxEvents = 5'000;  // of one reply
 constexpr std::string_view kRequestsPath = "/v1/requests/";
 
 std::optional<std::uint64_t> ParseOffset(const std::string& text) {
@@ -109,7 +109,6 @@
                            m_context.metrics.Render());
   }
   if (path == "/v1/events" && is_get) {
-    constexpr std::size_t kMaxEvents = 5'000;
     const auto after = ParseOffset(request.Query("after"));
     if (!after) {
       return SendError(*responder, {ErrorKind::kBadRequest, "after must be a number", "after"},
--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -241,7 +241,7 @@
   }
   while (reader.next < request.answer.size()) {
     if (!reader.sink->IsReady()) return;
-    const std::string_view rest = std::string_view(request.answer).substr(reader.next, kFeedBytes);
+    const std::string_view rest = std::string_view{request.answer}.substr(reader.next, kFeedBytes);
     reader.sink->OnData(reader.next, rest);
     reader.next += rest.size();
   }
--- a/src/home/submission.cc
+++ b/src/home/submission.cc
@@ -1,6 +1,7 @@
 #include "submission.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -16,6 +17,10 @@
 constexpr std::size_t kPrefixBytes = 1024;
 // Usual ratio for prompts in Latin script; the engine reports exact counts afterwards.
 constexpr std::size_t kBytesPerToken = 4;
+constexpr std::array<std::string_view, 8> kKnownMembers = {
+    "organisation",    "tier",   "pool",       "deadline_ms", "idempotent",
+    "idempotency_key", "prompt", "max_tokens",
+};
 
 Error Fault(ErrorKind kind, std::string field, std::string message) {
   return Error{kind, std::move(message), std::move(field)};
@@ -70,12 +75,8 @@
   }
 
   void RefuseUnknownMembers() {
-    static constexpr std::string_view kKnown[] = {
-        "organisation",    "tier",   "pool",       "deadline_ms", "idempotent",
-        "idempotency_key", "prompt", "max_tokens",
-    };
     for (const auto& [name, value] : m_body.items()) {
-      if (std::find(std::begin(kKnown), std::end(kKnown), name) == std::end(kKnown)) {
+      if (std::find(kKnownMembers.begin(), kKnownMembers.end(), name) == kKnownMembers.end()) {
         Fail(name.substr(0, kMaxKeyLength), "is not a known field");
       }
     }
