--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,12 @@
 format:
 	git ls-files -co --exclude-standard '*.h' '*.cc' | grep -v '_generated\.h$$' | xargs clang-format -i
 
+# Random pairs of faults, longer than in the tests; SEED and PAIRS may be given.
+SEED ?= $(shell date +%s)
+PAIRS ?= 1000
+soak: all
+	seq 0 5 | xargs -P 6 -I{} $(BUILD)/fault-matrix --pairs $(PAIRS) --seed $(SEED) \
+	  --shards 6 --shard {}
+
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize
--- a/test/cluster/fault-matrix-main.cc
+++ b/test/cluster/fault-matrix-main.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "fault-matrix.h"
+#include "matrix-page.h"
 
 /// Runs the cells of the fault matrix, or seeded pairs of faults, and prints one line for each.
 
@@ -15,8 +16,9 @@
   int shards = 1;
   int pairs = 0;  ///< number of pair cases; 0 runs the matrix
   std::uint32_t seed = 1;
-  std::string step;   ///< only steps with this text in their name
-  std::string fault;  ///< only faults with this text in their name
+  std::string step;               ///< only steps with this text in their name
+  std::string fault;              ///< only faults with this text in their name
+  std::vector<std::string> page;  ///< logs to make the page from, instead of running
 };
 
 struct Count {
@@ -73,7 +75,12 @@
   app.add_option("--seed", options.seed, "seed of the pairs");
   app.add_option("--step", options.step, "only steps with this text in their name");
   app.add_option("--fault", options.fault, "only faults with this text in their name");
+  app.add_option("--page", options.page, "print docs/fault-matrix.md, made from these logs");
   CLI11_PARSE(app, argc, argv);
+  if (!options.page.empty()) {
+    std::cout << MakeMatrixPage(options.page);
+    return 0;
+  }
   Count count;
   if (options.pairs > 0) {
     std::cout << "seed " << options.seed << std::endl;
--- a/test/cluster/fault-matrix.cc
+++ b/test/cluster/fault-matrix.cc
@@ -65,6 +65,13 @@
   cluster.RunUntil([&] { return cluster.Executions().size() >= count; }, Millis{5'000});
 }
 
+/// Bytes to and from the engines take 600 ms.
+void DelayEngines(Subject& subject) {
+  for (const std::string& name : subject.cluster.BackendNames("assistant")) {
+    subject.cluster.ControlBackendProxy(name, {{"mode", "pass"}, {"delay_ms", 600}});
+  }
+}
+
 Step EngineStep(const std::string& name, std::function<bool(Subject&)> reach) {
   return {name, false, std::move(reach)};
 }
@@ -110,12 +117,15 @@
                   }),
       EngineStep("reservation granted",
                  [](Subject& s) {
-                   // The request's bytes take 600 ms to reach the engine.
-                   for (const std::string& name : s.cluster.BackendNames("assistant")) {
-                     s.cluster.ControlBackendProxy(name, {{"mode", "pass"}, {"delay_ms", 600}});
-                   }
+                   DelayEngines(s);
                    return Begin(s) && WaitEvent(s, "dispatched");
                  }),
+      EngineStep("dispatched, confirmation on its way",
+                 [](Subject& s) {
+                   DelayEngines(s);
+                   return Begin(s) &&
+                          s.cluster.RunUntil([&] { return !s.cluster.Executions().empty(); });
+                 }),
       EngineStep("dispatched",
                  [](Subject& s) {
                    // A second of prefill passes before the first byte.
