Check in the matrix that an answer survives the death of its home

Cause: resume tokens had no test with real processes. Ruled out: checking it in the home's unit tests, which have no second instance. Change: in the column 'home killed' the first caller that was cut off fetches the rest through another instance; both parts together must be the engine's answer. Before: not checked.

--- a/test/cluster/fault-matrix.cc
+++ b/test/cluster/fault-matrix.cc
@@ -192,7 +192,7 @@
   return {
       {"none", Knowledge::kAll, Nothing, Nothing},
       {"home killed", Knowledge::kNone, [](Subject& s) { s.cluster.Daemon(s.home).Kill(); },
-       [](Subject& s) { s.cluster.Restart(s.home); }},
+       [](Subject& s) { s.cluster.Restart(s.home); }, true},
       // Its peers close their links to a silent home, and what they relay for it is then unknown.
       {"home paused", Knowledge::kFirst, [](Subject& s) { PauseInstance(s, s.home); }, Nothing},
       {"owner killed", Knowledge::kFirst,
@@ -397,6 +397,17 @@
   }
 }
 
+/// Fetches the rest of an answer whose home has died through another instance.
+void CheckResume(Subject& subject, CellResult& result) {
+  const auto first = subject.views.empty() ? nullptr : subject.views.front();
+  if (!first || first->resume.empty() || !first->outcome.empty()) return;
+  const auto rest = subject.cluster.Resume(2, first->resume, first->answer.size());
+  subject.cluster.RunUntil([&] { return rest->is_done; }, kSettleLimit);
+  if (rest->outcome != "completed" || first->answer + rest->answer != ExpectedAnswerOf(subject)) {
+    result.violations.push_back("the answer could not be resumed: " + rest->error);
+  }
+}
+
 }  // namespace
 
 const std::vector<Step>& Steps() {
@@ -436,6 +447,7 @@
   cluster.RunUntil([&] { return AllDone(subject.views) && AllDone(key_views); }, kSettleLimit);
 
   CellResult result;
+  if (faults.size() == 1 && faults.front()->is_resumable) CheckResume(subject, result);
   CheckAtMostOnce(subject, result.violations);
   CheckViews(subject, subject.views, knowledge, result);
   CheckViews(subject, key_views, knowledge == Knowledge::kAll ? knowledge : Knowledge::kNone,
--- a/test/cluster/fault-matrix.h
+++ b/test/cluster/fault-matrix.h
@@ -45,6 +45,8 @@
   Knowledge knowledge = Knowledge::kAll;
   std::function<void(Subject&)> inject;
   std::function<void(Subject&)> heal;
+  /// A first caller that was cut off can fetch the rest of its answer with its resume token.
+  bool is_resumable = false;
 };
 
 const std::vector<Step>& Steps();
