Refuse a plain service's request that is not JSON

Cause: such a request went to the service, which refused it after a claim and a grant (backend_refused). Ruled out: wrapping plain text into JSON, which the caller did not ask for.

--- a/src/home/submission.cc
+++ b/src/home/submission.cc
@@ -170,6 +170,9 @@
     // A forgotten flag must not turn an order into work that may be repeated.
     return Fault(ErrorKind::kBadRequest, "idempotent", "idempotent is required for plain services");
   }
+  if (is_service && !json::accept(submission.prompt)) {
+    return Fault(ErrorKind::kBadRequest, "prompt", "prompt must be JSON for a plain service");
+  }
   submission.is_idempotent = is_idempotent.value_or(true);
   if (const auto error = CheckKey(submission)) return *error;
 
