Tell a dead backend server from one out of reach, and bound kept answers

Cause: two network cuts during the same dossier would have quarantined it for an hour, since every lost run counted as a death; kept answers had a setting for their memory that nothing enforced; an answer to a former run of an instance could have matched an exchange of the present one. Ruled out: counting silence as a death with a longer limit. Change: only a refused or reset connection or a forgotten stream is a death; answers beyond the limit are dropped, oldest first; exchanges start at the incarnation and must come from the instance that was asked.

--- a/include/bluebellpass/backend.h
+++ b/include/bluebellpass/backend.h
@@ -44,7 +44,8 @@
   kNotSent,    ///< the connection failed and no byte of the request left
   kWithdrawn,  ///< may_send returned false and no byte of the request left
   kRefused,    ///< the backend server said that it did not run the request
-  kLost,       ///< the backend server may have run the request
+  kLost,       ///< the backend server cannot be reached; it may have run the request
+  kDied,       ///< the backend server died; it may have run the request
 };
 
 /// Receives the progress of a run. Called on the event loop, never inside Start or Resume.
--- a/src/backend/engine-driver.cc
+++ b/src/backend/engine-driver.cc
@@ -188,9 +188,12 @@
   void OnClosed(HttpEnd end, const std::string& message) {
     if (m_is_over) return;
     if (m_stream_id.empty()) return OnCreationFailed(end, message);
-    if (m_status == 404) return Fail(RunFailure::kLost, "the engine no longer knows the response");
+    // An engine that has forgotten a response has been restarted.
+    if (m_status == 404) return Fail(RunFailure::kDied, "the engine no longer knows the response");
     if (++m_failed_resumes > kMaxFailedResumes) {
-      return Fail(RunFailure::kLost, "the engine cannot be reached: " + message);
+      const bool is_refused = end == HttpEnd::kConnectFailed;
+      return Fail(is_refused ? RunFailure::kDied : RunFailure::kLost,
+                  "the engine cannot be reached: " + message);
     }
     LogEvent(EventId::kStreamResumed, {{"request", m_id.Text()}, {"reason", message}});
     m_retry_timer.Start(kResumeDelay, [this] {
@@ -200,14 +203,16 @@
   }
 
   void OnCreationFailed(HttpEnd end, const std::string& message) {
-    if (end == HttpEnd::kConnectFailed) return Fail(RunFailure::kNotSent, message);
+    const bool is_unsent = end == HttpEnd::kConnectFailed || end == HttpEnd::kConnectSilent;
+    if (is_unsent) return Fail(RunFailure::kNotSent, message);
     if (end == HttpEnd::kWithdrawn) return Fail(RunFailure::kWithdrawn, message);
     const bool is_refusal = (m_status >= 400 && m_status < 500) || m_status == 503;
     if (end == HttpEnd::kComplete && is_refusal) {
       return Fail(RunFailure::kRefused,
                   "the engine answered " + std::to_string(m_status) + ": " + m_error_body);
     }
-    Fail(RunFailure::kLost, "the engine did not confirm the request: " + message);
+    Fail(end == HttpEnd::kFailed ? RunFailure::kDied : RunFailure::kLost,
+         "the engine did not confirm the request: " + message);
   }
 
   void Fail(RunFailure failure, const std::string& message) {
--- a/src/backend/service-driver.cc
+++ b/src/backend/service-driver.cc
@@ -46,11 +46,14 @@
   void OnEnd(HttpEnd end, const std::string& message) {
     switch (end) {
       case HttpEnd::kConnectFailed:
+      case HttpEnd::kConnectSilent:
         return m_listener.OnFailure(RunFailure::kNotSent, message);
       case HttpEnd::kWithdrawn:
         return m_listener.OnFailure(RunFailure::kWithdrawn, message);
+      case HttpEnd::kSilent:
+        return m_listener.OnFailure(RunFailure::kLost, "the service did not reply in time");
       case HttpEnd::kFailed:
-        return m_listener.OnFailure(RunFailure::kLost, "the service's reply was lost: " + message);
+        return m_listener.OnFailure(RunFailure::kDied, "the service's reply was lost: " + message);
       case HttpEnd::kComplete:
         return OnReply();
     }
--- a/src/front/operator-task.cc
+++ b/src/front/operator-task.cc
@@ -95,7 +95,8 @@
 
 }  // namespace
 
-OperatorTask::OperatorTask(OperatorContext context) : m_context(context) {}
+OperatorTask::OperatorTask(OperatorContext context)
+    : m_context(context), m_next_exchange(context.network.Self().incarnation.Value()) {}
 
 void OperatorTask::Execute(const std::string& text, Reply reply) {
   std::size_t column = 0;
--- a/src/front/operator-task.h
+++ b/src/front/operator-task.h
@@ -76,7 +76,7 @@
 
   OperatorContext m_context;
   OrderHandler m_orders;
-  std::uint64_t m_next_exchange = 1;
+  std::uint64_t m_next_exchange;  ///< starts at the incarnation, as that of forwarded requests
   std::map<std::uint64_t, std::unique_ptr<Query>> m_queries;
 };
 
--- a/src/home/forwarder.cc
+++ b/src/home/forwarder.cc
@@ -63,7 +63,11 @@
 };
 
 Forwarder::Forwarder(Loop& loop, PeerNetwork& network, HomeTask& home)
-    : m_loop(loop), m_network(network), m_home(home), m_retry(loop) {
+    : m_loop(loop),
+      m_network(network),
+      m_home(home),
+      m_next_exchange(network.Self().incarnation.Value()),
+      m_retry(loop) {
   m_home.SetRemoteFetch(
       [this](const ParsedRequestId& id, std::uint64_t offset, std::shared_ptr<AnswerSink> sink) {
         Forward(id, "", offset, std::move(sink));
@@ -120,9 +124,10 @@
   return m_outgoing.empty() && m_pending.empty() && !is_serving;
 }
 
-Forwarder::Outgoing* Forwarder::FindOutgoing(std::uint64_t exchange) {
+Forwarder::Outgoing* Forwarder::FindOutgoing(const InstanceId& home, std::uint64_t exchange) {
   const auto found = m_outgoing.find(exchange);
-  return found == m_outgoing.end() ? nullptr : &found->second;
+  const bool is_known = found != m_outgoing.end() && found->second.home == home;
+  return is_known ? &found->second : nullptr;
 }
 
 void Forwarder::OnPeerMessage(const InstanceId& from, const PeerMessage& message) {
@@ -134,7 +139,7 @@
     m_home.Detach(found->second.get());
     m_serving.erase(found);
   } else {
-    OnAnswer(message);
+    OnAnswer(from, message);
   }
 }
 
@@ -151,15 +156,16 @@
   }
 }
 
-void Forwarder::OnAnswer(const PeerMessage& message) {
+void Forwarder::OnAnswer(const InstanceId& from, const PeerMessage& message) {
   if (const auto* head = std::get_if<AnswerHeadMessage>(&message)) {
-    if (Outgoing* out = FindOutgoing(head->exchange)) {
+    if (Outgoing* out = FindOutgoing(from, head->exchange)) {
       out->sink->OnHead({out->id, BackendId(head->backend), head->resume_token});
     }
   } else if (const auto* data = std::get_if<AnswerDataMessage>(&message)) {
-    if (Outgoing* out = FindOutgoing(data->exchange)) out->sink->OnData(data->offset, data->bytes);
+    if (Outgoing* out = FindOutgoing(from, data->exchange))
+      out->sink->OnData(data->offset, data->bytes);
   } else if (const auto* end = std::get_if<AnswerEndMessage>(&message)) {
-    Outgoing* out = FindOutgoing(end->exchange);
+    Outgoing* out = FindOutgoing(from, end->exchange);
     if (out == nullptr) return;
     AnswerEnd answer{end->outcome, end->length, std::nullopt};
     if (end->has_error) answer.error = Error{end->kind, end->message, end->field};
--- a/src/home/forwarder.h
+++ b/src/home/forwarder.h
@@ -57,13 +57,15 @@
                const std::shared_ptr<AnswerSink>& sink);
   void RetryPending();
   void ServeForward(const InstanceId& from, const ForwardMessage& message);
-  void OnAnswer(const PeerMessage& message);
-  Outgoing* FindOutgoing(std::uint64_t exchange);
+  void OnAnswer(const InstanceId& from, const PeerMessage& message);
+  Outgoing* FindOutgoing(const InstanceId& home, std::uint64_t exchange);
 
   Loop& m_loop;
   PeerNetwork& m_network;
   HomeTask& m_home;
-  std::uint64_t m_next_exchange = 1;
+  /// Starts at the incarnation, so that an answer to an earlier run of this instance, which may
+  /// still be on its way, fits no exchange of this one.
+  std::uint64_t m_next_exchange;
   std::unordered_map<std::uint64_t, Outgoing> m_outgoing;
   std::vector<Pending> m_pending;
   /// Answers being sent to other instances, by reader and exchange.
--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -343,6 +343,7 @@
         "tier=\"" + request.submission.tier.Text() + "\"");
   }
   request.answer.append(bytes);
+  m_answer_bytes += bytes.size();
   Pump(request);
 }
 
@@ -376,9 +377,14 @@
       return;
     }
     case RunFailure::kLost:
-      ReleaseGrant(request, ReleaseReason::kBackendLost, {});
+    case RunFailure::kDied: {
+      // Only a death makes the content a suspect; a broken network must not quarantine it.
+      const bool has_died = failure == RunFailure::kDied;
+      ReleaseGrant(request, has_died ? ReleaseReason::kBackendLost : ReleaseReason::kUnreachable,
+                   {});
       EndAs(request, EndWith({ErrorKind::kBackendLost, message, ""}));
       return;
+    }
   }
 }
 
--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -162,6 +162,7 @@
     request.has_claim = false;
   }
   request.phase = Phase::kEnded;
+  request.submission.prompt = std::string();
   request.ended = m_context.loop.Now();
   request.deadline_timer.Stop();
   request.retry_timer.Stop();
@@ -298,18 +299,38 @@
     const auto age = now - request.ended;
     if (age < kAnswerKeptLeast || !request.readers.empty()) return false;
     // The id itself stays known until its ticket has expired, so that it is never run again.
-    if (!request.is_answer_dropped && !request.answer.empty()) {
-      request.answer = std::string();
-      request.submission.prompt = std::string();
-      request.is_answer_dropped = true;
-    }
+    DropAnswer(request);
     return request.ticket_issued_s + kTicketValiditySeconds + 1 < uptime;
   });
+  BoundAnswers();
   for (auto& [pool, floors] : m_floors) {
     std::erase_if(floors, [&](const Floor& floor) { return floor.until <= now; });
   }
 }
 
+void HomeTask::DropAnswer(Request& request) {
+  if (request.is_answer_dropped || request.answer.empty()) return;
+  m_answer_bytes -= request.answer.size();
+  request.answer = std::string();
+  request.is_answer_dropped = true;
+}
+
+void HomeTask::BoundAnswers() {
+  if (m_answer_bytes <= m_context.max_answer_bytes) return;
+  // The answers that ended first are the least likely to be asked for again.
+  std::vector<Request*> kept;
+  for (auto& [id, request] : m_requests) {
+    const bool is_free = request->phase == Phase::kEnded && request->readers.empty();
+    if (is_free && !request->answer.empty()) kept.push_back(request.get());
+  }
+  std::sort(kept.begin(), kept.end(),
+            [](const Request* a, const Request* b) { return a->ended < b->ended; });
+  for (Request* request : kept) {
+    if (m_answer_bytes <= m_context.max_answer_bytes) return;
+    DropAnswer(*request);
+  }
+}
+
 void HomeTask::BeginStop() { m_is_stopping = true; }
 
 void HomeTask::EndWaiting() {
--- a/src/home/home-task.h
+++ b/src/home/home-task.h
@@ -31,6 +31,7 @@
   DriverContext drivers;
   ResumeTokens& tokens;
   Metrics& metrics;
+  std::size_t max_answer_bytes = 256U << 20U;  ///< of answers kept for callers to come back
 };
 
 /// A row of an operator's view of requests.
@@ -128,6 +129,8 @@
   void Drop(Reader& reader);
   Request* FindReadBy(const AnswerSink* sink);
   void Expire();
+  void DropAnswer(Request& request);
+  void BoundAnswers();
   RequestRow RowOf(const Request& request) const;
 
   // Reservations and dispatch (home-dispatch.cc).
@@ -171,6 +174,7 @@
   std::map<PoolName, std::vector<Floor>> m_floors;
   std::map<std::string, std::unique_ptr<BackendDriver>> m_drivers;
   std::deque<Refusal> m_refusals;
+  std::size_t m_answer_bytes = 0;  ///< of all answers that are kept
   RemoteFetch m_remote_fetch;
   Timer m_expiry;
   Timer m_resync;
--- a/src/kernel/http-client.cc
+++ b/src/kernel/http-client.cc
@@ -95,7 +95,7 @@
     m_handle->text = BuildRequestText(m_request);
     m_handle->buffer = h2o_iovec_init(m_handle->text.data(), m_handle->text.size());
     m_timer.Start(m_request.connect_timeout,
-                  [this] { Finish(HttpEnd::kConnectFailed, "connect timeout"); });
+                  [this] { Finish(HttpEnd::kConnectSilent, "connect timeout"); });
     m_context->loop.Post([this, alive = m_alive] {
       if (!*alive || m_is_finished) return;
       h2o_http1client_connect(
@@ -195,7 +195,7 @@
   }
 
   void RestartIdleTimer() {
-    m_timer.Start(m_request.idle_timeout, [this] { Finish(HttpEnd::kFailed, "no data in time"); });
+    m_timer.Start(m_request.idle_timeout, [this] { Finish(HttpEnd::kSilent, "no data in time"); });
   }
 
   void Finish(HttpEnd end, const std::string& message) {
@@ -255,8 +255,10 @@
       case HttpEnd::kComplete:
         return done(std::move(*reply));
       case HttpEnd::kConnectFailed:
+      case HttpEnd::kConnectSilent:
       case HttpEnd::kWithdrawn:
         return done(Error{ErrorKind::kStoreUnavailable, message, ""});
+      case HttpEnd::kSilent:
       case HttpEnd::kFailed:
         return done(Error{ErrorKind::kStoreUncertain, message, ""});
     }
--- a/src/kernel/http-client.h
+++ b/src/kernel/http-client.h
@@ -30,9 +30,11 @@
 
 enum class HttpEnd {
   kComplete,       ///< the response is whole
-  kConnectFailed,  ///< no byte of the request was sent
+  kConnectFailed,  ///< the connection was refused; no byte of the request was sent
+  kConnectSilent,  ///< no connection within its timeout; no byte of the request was sent
   kWithdrawn,      ///< may_send returned false; no byte of the request was sent
-  kFailed,         ///< the connection failed or went silent after bytes were sent
+  kSilent,         ///< no byte came for the idle timeout after bytes were sent
+  kFailed,         ///< the connection failed after bytes were sent
 };
 
 /// Receives the progress of a call.
--- a/src/store/http-store.cc
+++ b/src/store/http-store.cc
@@ -118,8 +118,9 @@
   events.on_data = [call](std::string_view bytes) { call->reply.body.append(bytes); };
   events.on_end = [this, id, call](HttpEnd end, const std::string& message) {
     if (end == HttpEnd::kComplete) return Finish(id, std::move(call->reply));
-    const auto kind =
-        end == HttpEnd::kConnectFailed ? ErrorKind::kStoreUnavailable : ErrorKind::kStoreUncertain;
+    const auto kind = end == HttpEnd::kConnectFailed || end == HttpEnd::kConnectSilent
+                          ? ErrorKind::kStoreUnavailable
+                          : ErrorKind::kStoreUncertain;
     Finish(id, Error{kind, message, ""});
   };
   m_calls[id] = std::move(pending);
--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -318,12 +318,23 @@
   const auto sink = Submit(id, "urgent", "key");
   ledger.claims.at(0)(ClaimConfirmed{});
   Grant(id);
-  g_runs.at(0).listener->OnFailure(RunFailure::kLost, "gone");
+  g_runs.at(0).listener->OnFailure(RunFailure::kDied, "gone");
   BOOST_TEST((sink->end->outcome == Outcome::kUnknown));
   BOOST_TEST(ledger.voided.empty());
   BOOST_TEST(Released(ReleaseReason::kBackendLost) == 1);
 }
 
+// Guards against a quarantine of content whose backend server was only out of reach.
+BOOST_FIXTURE_TEST_CASE(UnreachableServerIsNoDeath, Fixture) {
+  const auto id = Id("n");
+  const auto sink = Submit(id);
+  Grant(id);
+  g_runs.at(0).listener->OnFailure(RunFailure::kLost, "silent");
+  BOOST_TEST((sink->end->outcome == Outcome::kUnknown));
+  BOOST_TEST(Released(ReleaseReason::kBackendLost) == 0);
+  BOOST_TEST(Released(ReleaseReason::kUnreachable) == 1);
+}
+
 // Guards against lower-tier work that is kept, or admitted, below a promised floor.
 BOOST_FIXTURE_TEST_CASE(FloorShedsAndRefusesBelow, Fixture) {
   const auto urgent = Submit(Id("u"));
@@ -365,6 +376,27 @@
   BOOST_TEST(sink->end->length == 6U);
 }
 
+// Guards against memory that grows with answers which nobody fetches, and against a caller that is
+// told anything but the truth about an answer that was dropped.
+BOOST_FIXTURE_TEST_CASE(KeptAnswersAreBounded, Fixture) {
+  HomeTask small(HomeContext{loop, network, config, ledger, {nullptr, &loop}, tokens, metrics, 4});
+  const ParsedRequestId id{small.IssueTicket(), "n"};
+  const std::string body =
+      R"({"organisation":"o","tier":"urgent","pool":"p","deadline_ms":60000,"prompt":"x"})";
+  small.Submit(id, body, std::make_shared<FakeSink>());
+  small.OnPeerMessage(kOwner,
+                      GrantMessage{{PoolName("p"), Region("r")}, Text(id), 1, BackendId("b")});
+  g_runs.at(0).listener->OnData("answer");
+  g_runs.at(0).listener->OnEnd({});
+  auto late = std::make_shared<FakeSink>();
+  BOOST_REQUIRE(RunUntil([&] {
+    late = std::make_shared<FakeSink>();
+    small.Fetch(id, 0, late);
+    return late->end->error.has_value();
+  }));
+  BOOST_TEST((KindOf(*late) == ErrorKind::kAnswerExpired));
+}
+
 // Guards against reservations that are lost with their owner or the link to it.
 BOOST_FIXTURE_TEST_CASE(WorkIsSyncedAfterANewLink, Fixture) {
   const auto running = Id("r");
--- a/test/standins/load-driver.cc
+++ b/test/standins/load-driver.cc
@@ -265,7 +265,8 @@
   if (job->result.attempts >= kMaxAttempts) return Finish(job, "unknown", "answer_lost");
   // Nothing of a first attempt was sent, so a new id cannot cause a second run; after that the
   // request may run, and only its answer may be asked for.
-  const bool is_unsent = end == HttpEnd::kConnectFailed && job->status == 0 && !job->is_submitted;
+  const bool is_refused = end == HttpEnd::kConnectFailed || end == HttpEnd::kConnectSilent;
+  const bool is_unsent = is_refused && job->status == 0 && !job->is_submitted;
   if (!is_unsent) job->is_submitted = true;
   Retry(job);
 }
