Shorten the validity of tickets to 180 s

Ruled out: forgetting ids earlier than their tickets, which would allow a second dispatch. Change: 180 s in place of 600 s; address lists are valid for 30 s.

--- a/src/home/request-id.h
+++ b/src/home/request-id.h
@@ -19,8 +19,9 @@
   std::string Text() const;
 };
 
-/// For how long after its issue a ticket may be used for new requests.
-constexpr std::uint64_t kTicketValiditySeconds = 600;
+/// For how long after its issue a ticket may be used for new requests. Six times the validity of
+/// an address list; the home remembers all ids for this time.
+constexpr std::uint64_t kTicketValiditySeconds = 180;
 
 /// A request id taken apart.
 struct ParsedRequestId {
