Refuse bad input with errors that name the field, within bounds

Cause: tests with raw connections to a real daemon found these faults: - a prompt object nested 100,000 levels deep ended the daemon with a segmentation fault (exit code 139), because the JSON writer recurses; - a member given twice was taken, with its last value; - headers of 100 kB were taken, up to h2o's limit of 417,792 bytes; - ended requests kept their prompts for more than ten minutes: refusals had no answer to drop, and assigning an empty string keeps the capacity, so dropped answers kept their memory, too; - faults of the whole body named no field, and a body above the limit got h2o's plain text instead of the documented error line.

Ruled out: a smaller nesting limit inside the JSON library (it has none), and a limit on the body alone against headers (h2o counts them apart).

Change: the body is parsed with a callback that refuses more than 64 levels and duplicate members at any level. Heads above 32 KiB get too_large. A filter on h2o's fallback path replaces the body of its own errors by an error line.

--- a/src/front/http-front.cc
+++ b/src/front/http-front.cc
@@ -13,9 +13,13 @@
 using nlohmann::ordered_json;
 
 constexpr char kJson[] = "application/json";
+constexpr char kLines[] = "application/x-ndjson";
 // Callers keep the address list for a while; a leaving instance serves what comes in that time.
 constexpr int kAddressValiditySeconds = 30;
 constexpr std::size_t kMaxEvents = 5'000;  // of one reply
+// Names and values that callers need take far less; h2o itself would accept 400 KiB.
+constexpr std::size_t kMaxHeadBytes = 32U << 10U;
+constexpr int kStatusTooLarge = 413;
 constexpr std::string_view kRequestsPath = "/v1/requests/";
 
 std::optional<std::uint64_t> ParseOffset(const std::string& text) {
@@ -31,6 +35,15 @@
   return {ErrorKind::kBadRequest, "offset must be a whole number that is not negative", "offset"};
 }
 
+/// @return the error for a request that the HTTP library has refused by itself
+Error LibraryError(int status) {
+  if (status == kStatusTooLarge) {
+    return {ErrorKind::kTooLarge, "the body is longer than --max-body-bytes", "body"};
+  }
+  return {ErrorKind::kBadRequest,
+          "the request is not valid HTTP: content-length, transfer-encoding or chunks", "headers"};
+}
+
 bool IsOffered(const Member& member) {
   return member.state == MemberState::kAlive && !member.info.is_leaving;
 }
@@ -89,7 +102,9 @@
       m_jitter(static_cast<std::uint32_t>(context.network.Self().incarnation.Value())),
       m_server(context.loop, limits, [this](HttpRequest request, const ResponderPtr& responder) {
         Handle(std::move(request), responder);
-      }) {}
+      }) {
+  m_server.SetErrorBody(kLines, [](int status) { return ErrorLine(LibraryError(status)); });
+}
 
 HttpFront::~HttpFront() = default;
 
@@ -97,6 +112,11 @@
   const std::string& path = request.path;
   const bool is_get = request.method == "GET";
   const bool is_post = request.method == "POST";
+  if (request.head_bytes > kMaxHeadBytes) {
+    return SendError(*responder,
+                     {ErrorKind::kTooLarge, "the headers exceed 32 KiB in all", "headers"},
+                     m_jitter);
+  }
   if (path == "/v1/requests" && is_post) return HandleSubmit(request, responder);
   if (path.starts_with(kRequestsPath) && is_get) return HandleFetch(request, responder);
   if (path == "/v1/instances" && is_get) return HandleInstances(responder);
@@ -114,8 +134,7 @@
       return SendError(*responder, {ErrorKind::kBadRequest, "after must be a number", "after"},
                        m_jitter);
     }
-    return responder->Send(200, {{"content-type", "application/x-ndjson"}},
-                           RecordedEvents(*after, kMaxEvents));
+    return responder->Send(200, {{"content-type", kLines}}, RecordedEvents(*after, kMaxEvents));
   }
   SendError(*responder,
             {ErrorKind::kBadRequest, "there is no " + request.method + " for this path", "path"},
@@ -153,7 +172,7 @@
   if (!IsOk(parsed)) return SendError(*responder, ErrorOf(parsed), m_jitter);
   const auto& id = std::get<ParsedRequestId>(parsed);
   if (request.body.empty()) {
-    return SendError(*responder, {ErrorKind::kBadRequest, "the body is empty", ""}, m_jitter);
+    return SendError(*responder, {ErrorKind::kBadRequest, "the body is empty", "body"}, m_jitter);
   }
   auto sink = MakeSink(responder, RequestId(text));
   if (IsOwn(id.ticket)) {
--- a/src/front/http-sink.cc
+++ b/src/front/http-sink.cc
@@ -64,6 +64,13 @@
 
 }  // namespace
 
+std::string ErrorLine(const Error& error) {
+  AnswerEnd end;
+  end.outcome = AnswerFor(error.kind).outcome;
+  end.error = error;
+  return Line(EndObject(end, RequestId()));
+}
+
 HttpSink::HttpSink(std::shared_ptr<HttpResponder> responder, RequestId id, std::minstd_rand& jitter)
     : m_responder(std::move(responder)), m_id(std::move(id)), m_jitter(jitter) {}
 
--- a/src/front/http-sink.h
+++ b/src/front/http-sink.h
@@ -33,6 +33,9 @@
   std::uint64_t m_end_offset = 0;
 };
 
+/// @return the line that ends an answer with this error
+std::string ErrorLine(const Error& error);
+
 /// Sends an error as a whole response: status, outcome class and retry advice from the table.
 void SendError(HttpResponder& responder, const Error& error, std::minstd_rand& jitter,
                const RequestId& id = {});
--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -20,6 +20,9 @@
   return std::chrono::duration_cast<Millis>(now - start).count();
 }
 
+/// Gives the text's memory back. Assigning an empty string would keep its capacity.
+void Free(std::string& text) { std::string().swap(text); }
+
 }  // namespace
 
 HomeTask::HomeTask(HomeContext context)
@@ -139,6 +142,7 @@
   request.redirect = holder;
   request.ended = m_context.loop.Now();
   request.deadline_timer.Stop();
+  Free(request.submission.prompt);
   std::vector<Reader> readers = std::exchange(request.readers, {});
   for (Reader& reader : readers) Attach(request, std::move(reader.sink), reader.next);
 }
@@ -165,6 +169,8 @@
   request.ended = m_context.loop.Now();
   request.deadline_timer.Stop();
   request.retry_timer.Stop();
+  // The id stays known for more than ten minutes; the prompt is of no more use.
+  Free(request.submission.prompt);
   // The run may be calling at this moment, so it is destroyed in a later turn.
   if (request.run) {
     m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
@@ -299,8 +305,7 @@
     if (age < kAnswerKeptLeast || !request.readers.empty()) return false;
     // The id itself stays known until its ticket has expired, so that it is never run again.
     if (!request.is_answer_dropped && !request.answer.empty()) {
-      request.answer = std::string();
-      request.submission.prompt = std::string();
+      Free(request.answer);
       request.is_answer_dropped = true;
     }
     return request.ticket_issued_s + kTicketValiditySeconds + 1 < uptime;
--- a/src/home/submission.cc
+++ b/src/home/submission.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace bluebellpass {
 namespace {
@@ -13,6 +15,9 @@
 constexpr std::int64_t kMaxTokens = 1'000'000;
 constexpr std::int64_t kDefaultMaxTokens = 256;
 constexpr std::size_t kMaxKeyLength = 200;
+// The JSON writer recurses once per level; 100,000 levels overflowed the stack of 8 MiB.
+constexpr std::size_t kMaxNesting = 64;
+constexpr char kBody[] = "body";  // the field of faults of the whole body
 // Engines cache prefixes in blocks; the first kilobyte tells prompts with a common prefix apart.
 constexpr std::size_t kPrefixBytes = 1024;
 // Usual ratio for prompts in Latin script; the engine reports exact counts afterwards.
@@ -26,6 +31,53 @@
   return Error{kind, std::move(message), std::move(field)};
 }
 
+/// Parses the body and refuses what the parser itself takes: deep nesting, and duplicate members,
+/// of which it would keep the last without a word.
+class BodyParser {
+ public:
+  Result<json> Parse(std::string_view body) {
+    json document = json::parse(
+        body,
+        [this](int depth, json::parse_event_t event, const json& value) {
+          return OnEvent(static_cast<std::size_t>(depth), event, value);
+        },
+        false);
+    if (m_error) return *m_error;
+    if (document.is_discarded()) {
+      return Fault(ErrorKind::kBadRequest, kBody, "the body is not valid JSON in UTF-8");
+    }
+    if (!document.is_object()) {
+      return Fault(ErrorKind::kBadRequest, kBody, "the body must be a JSON object");
+    }
+    return document;
+  }
+
+ private:
+  /// @return false to drop the value, which saves its memory once the body is known to be bad
+  bool OnEvent(std::size_t depth, json::parse_event_t event, const json& value) {
+    if (m_error) return false;
+    const bool is_object = event == json::parse_event_t::object_start;
+    if ((is_object || event == json::parse_event_t::array_start) && depth >= kMaxNesting) {
+      m_error = Fault(ErrorKind::kBadRequest, kBody, "the body is nested more than 64 levels deep");
+      return false;
+    }
+    if (is_object) {
+      m_names.resize(std::max(m_names.size(), depth + 1));
+      m_names[depth].clear();
+    } else if (event == json::parse_event_t::key) {
+      const auto& name = value.get_ref<const std::string&>();
+      if (!m_names[depth - 1].insert(name).second) {
+        const std::string field = name.substr(0, kMaxKeyLength);
+        m_error = Fault(ErrorKind::kBadRequest, field, field + " is given more than once");
+      }
+    }
+    return true;
+  }
+
+  std::vector<std::set<std::string>> m_names;  ///< of the open object at each level
+  std::optional<Error> m_error;
+};
+
 /// Reads members of the body and keeps the first fault.
 class Reader {
  public:
@@ -144,12 +196,9 @@
 }  // namespace
 
 Result<Submission> ParseSubmission(std::string_view body, const ClusterConfig& config) {
-  const json document = json::parse(body, nullptr, false);
-  if (document.is_discarded())
-    return Fault(ErrorKind::kBadRequest, "", "the body is not valid JSON");
-  if (!document.is_object()) {
-    return Fault(ErrorKind::kBadRequest, "", "the body must be a JSON object");
-  }
+  const Result<json> parsed = BodyParser().Parse(body);
+  if (!IsOk(parsed)) return ErrorOf(parsed);
+  const json& document = std::get<json>(parsed);
   Reader reader(document);
   Submission submission;
   submission.organisation = OrganisationId(reader.Text("organisation", true));
--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -59,6 +59,7 @@
   HttpRequest request;
   request.method = ToString(req->method);
   const std::string path = ToString(req->path);
+  request.head_bytes = request.method.size() + path.size();
   const std::size_t query_at = path.find('?');
   request.path = path.substr(0, query_at);
   if (query_at != std::string::npos)
@@ -66,6 +67,7 @@
   for (std::size_t i = 0; i < req->headers.size; ++i) {
     const h2o_header_t& header = req->headers.entries[i];
     request.headers[ToString(*header.name)] = ToString(header.value);
+    request.head_bytes += header.name->len + header.value.len;
   }
   if (req->entity.base != nullptr) request.body = ToString(req->entity);
   return request;
@@ -252,8 +254,21 @@
     Impl* impl;
   };
 
+  struct ErrorFilter {
+    h2o_filter_t super;
+    Impl* impl;
+  };
+
+  /// Puts another body in the place of h2o's; it lives in the request's memory pool.
+  struct ErrorStream {
+    h2o_ostream_t super;
+    h2o_iovec_t body;
+  };
+
   Loop& loop;
   HttpHandler handler;
+  std::string error_content_type;
+  std::function<std::string(int)> error_body;
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
@@ -274,6 +289,11 @@
     auto* entry = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
     entry->super.on_req = &Impl::OnRequest;
     entry->impl = this;
+    // Errors that h2o finds before it looks for a handler go through the fallback path.
+    auto* filter = reinterpret_cast<ErrorFilter*>(
+        h2o_create_filter(&host->fallback_path, sizeof(ErrorFilter)));
+    filter->super.on_setup_ostream = &Impl::OnErrorReply;
+    filter->impl = this;
     h2o_context_init(&context, loop.Native(), &config);
     accept.ctx = &context;
     accept.hosts = config.hosts;
@@ -289,6 +309,30 @@
     return 0;
   }
 
+  static void OnErrorReply(h2o_filter_t* filter, h2o_req_t* req, h2o_ostream_t** slot) {
+    const Impl* impl = reinterpret_cast<ErrorFilter*>(filter)->impl;
+    if (impl->error_body) {
+      auto* stream =
+          reinterpret_cast<ErrorStream*>(h2o_add_ostream(req, sizeof(ErrorStream), slot));
+      const std::string body = impl->error_body(req->res.status);
+      stream->body = h2o_strdup(&req->pool, body.data(), body.size());
+      stream->super.do_send = &Impl::SendErrorBody;
+      req->res.content_length = body.size();
+      const std::string& type = impl->error_content_type;
+      const h2o_iovec_t type_copy = h2o_strdup(&req->pool, type.data(), type.size());
+      h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, type_copy.base,
+                     type_copy.len, 1);
+      slot = &stream->super.next;
+    }
+    h2o_setup_next_ostream(req, slot);
+  }
+
+  static void SendErrorBody(h2o_ostream_t* self, h2o_req_t* req, h2o_iovec_t* /*buffers*/,
+                            std::size_t /*count*/, h2o_send_state_t state) {
+    auto* stream = reinterpret_cast<ErrorStream*>(self);
+    h2o_ostream_send_next(self, req, &stream->body, state == H2O_SEND_STATE_FINAL ? 1 : 0, state);
+  }
+
   std::size_t CountOpen() const {
     std::size_t open = 0;
     for (const auto& weak : responses) {
@@ -321,6 +365,11 @@
   KeepUntilExit(std::shared_ptr<Impl>(m_impl.release(), [](Impl*) {}));
 }
 
+void HttpServer::SetErrorBody(std::string content_type, std::function<std::string(int)> body) {
+  m_impl->error_content_type = std::move(content_type);
+  m_impl->error_body = std::move(body);
+}
+
 Result<Address> HttpServer::Listen(const Address& address) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in name{};
--- a/src/kernel/http-server.h
+++ b/src/kernel/http-server.h
@@ -22,6 +22,7 @@
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;
   std::string body;
+  std::size_t head_bytes = 0;  ///< length of method, path, query and all headers as sent
 
   /// @return the header's value, or an empty string
   std::string Header(const std::string& name) const;
@@ -71,6 +72,10 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Sets the body of replies that the server sends by itself, to requests that no handler sees.
+  /// @param body gives the body for an HTTP status; without it these replies are plain text
+  void SetErrorBody(std::string content_type, std::function<std::string(int status)> body);
+
   /// Opens the listening socket. Port 0 takes a free port.
   /// @return the address in use, or kInternal with the system's reason
   Result<Address> Listen(const Address& address);
--- a/test/cluster/process.h
+++ b/test/cluster/process.h
@@ -21,6 +21,8 @@
   Process(Process&& other) noexcept;
   Process& operator=(Process&& other) noexcept;
 
+  /// @return the system's id of the process, or -1
+  pid_t Id() const { return m_pid; }
   bool IsRunning();
   void Signal(int number) const;
   /// Kills with SIGKILL and waits.
--- /dev/null
+++ b/test/http-limits-test.cc
@@ -0,0 +1,352 @@
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+
+#include "cluster/cluster.h"
+#include "cluster/raw-caller.h"
+
+/// Bad input from callers, against a real daemon.
+
+namespace bluebellpass {
+namespace {
+
+using nlohmann::json;
+using test::EngineBody;
+using test::RawCaller;
+using test::RawReply;
+using test::RawRequest;
+
+constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+constexpr int kConnections = 500;
+constexpr int kNesting = 100'000;
+// Twice the request timeout of 10 s, since the machine may be busy.
+constexpr Millis kCloseLimit{20'000};
+// Resident memory of the daemon at its highest. 24 MiB are for an idle daemon with its libraries
+// and 20,000 recorded events of about 300 bytes. Each of 500 connections may hold 64 KiB: its first
+// read buffer, a request's memory pool and headers of at most 32 KiB. One body at a time is parsed,
+// which takes up to 40 times its length (a JSON array of small arrays), so 40 MiB at 1 MiB.
+constexpr std::size_t kMemoryBound = (24U + 32U + 40U) << 20U;
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kHasMemoryBound = false;  // the sanitizer keeps freed memory back
+#else
+constexpr bool kHasMemoryBound = true;
+#endif
+
+test::ClusterOptions Options() {
+  test::ClusterOptions options;
+  options.instances = 1;
+  options.backends = {{.prefix = "engine", .kind = "engine", .pool = "assistant", .flags = {}},
+                      {.prefix = "desk", .kind = "service", .pool = "booking", .flags = {}}};
+  options.daemon_flags = {"--max-body-bytes", std::to_string(kMaxBodyBytes)};
+  return options;
+}
+
+struct Fixture {
+  test::Cluster cluster{Options()};
+  Address address = cluster.CallerAddress(0);
+
+  std::optional<RawReply> Ask(const std::string& request) const {
+    RawCaller caller(address);
+    caller.Send(request);
+    return caller.Read();
+  }
+
+  /// @return highest resident memory of the daemon so far, in bytes
+  std::size_t PeakMemory() {
+    std::ifstream file("/proc/" + std::to_string(cluster.Daemon(0).Id()) + "/status");
+    std::string word;
+    std::size_t kibibytes = 0;
+    while (file >> word) {
+      if (word == "VmHWM:") file >> kibibytes;
+    }
+    return kibibytes << 10U;
+  }
+
+  /// The daemon still serves, and nothing but that request has reached a backend server.
+  void CheckUnharmed() {
+    BOOST_TEST(cluster.Executions().empty());
+    const auto view = cluster.Submit(0, EngineBody("still there"));
+    BOOST_TEST(cluster.RunUntil([&] { return view->is_done; }));
+    BOOST_TEST(view->outcome == "completed");
+    BOOST_TEST(cluster.Executions().size() == 1U);
+    BOOST_TEST_MESSAGE("peak memory of the daemon in KiB: " << (PeakMemory() >> 10U));
+    BOOST_TEST(PeakMemory() > 0U);
+    if (kHasMemoryBound) BOOST_TEST(PeakMemory() < kMemoryBound);
+  }
+
+  void CheckRefused(const std::string& what, const std::string& request, int status,
+                    const std::string& error, const std::string& field) {
+    BOOST_TEST_CONTEXT(what) {
+      const auto reply = Ask(request);
+      BOOST_REQUIRE(reply.has_value());
+      BOOST_TEST(reply->status == status);
+      const json line = json::parse(reply->body, nullptr, false);
+      BOOST_REQUIRE_MESSAGE(line.is_object(), "not a JSON object: " + reply->body);
+      BOOST_TEST(line.value("error", "") == error);
+      BOOST_TEST(line.value("field", "") == field);
+      BOOST_TEST(line.value("outcome", "") == "not_run");
+      BOOST_TEST(!line.value("message", "").empty());
+    }
+  }
+
+  void CheckBody(const std::string& body, const std::string& field, int status = 400,
+                 const std::string& error = "bad_request") {
+    CheckRefused(body.substr(0, 100), RawRequest("POST", "/v1/requests", body), status, error,
+                 field);
+  }
+};
+
+/// @return a valid body with one member replaced by JSON text
+std::string With(const std::string& member, const std::string& value) {
+  json body = EngineBody("a prompt");
+  body[member] = "@";
+  std::string text = body.dump();
+  return text.replace(text.find("\"@\""), 3, value);
+}
+
+std::string Repeat(const std::string& piece, int count) {
+  std::string text;
+  for (int i = 0; i < count; ++i) text += piece;
+  return text;
+}
+
+std::string Nested(const std::string& open, const std::string& close) {
+  return Repeat(open, kNesting) + "1" + Repeat(close, kNesting);
+}
+
+std::string HeaderLine(const std::string& name, const std::string& value) {
+  return name + ": " + value + "\r\n";
+}
+
+}  // namespace
+
+// Guards against bodies that are taken although they are no JSON object that one can rely on, and
+// against a stack overflow by deep nesting.
+BOOST_FIXTURE_TEST_CASE(BodiesThatAreNoObjectAreRefused, Fixture) {
+  CheckBody(R"({"organisation":"oficina",)", "body");
+  CheckBody("", "body");
+  CheckBody("[1,2]", "body");
+  CheckBody("\"text\"", "body");
+  CheckBody("null", "body");
+  CheckBody(With("prompt", "\"\xff\xfe\""), "body");
+  CheckBody(With("prompt", "\"\xed\xa0\x80\""), "body");
+  CheckBody(With("prompt", "\"\\ud800\""), "body");
+  CheckBody(Nested("[", "]"), "body");
+  CheckBody(With("prompt", Nested("[", "]")), "body");
+  CheckBody(With("prompt", Nested("{\"a\":", "}")), "body");
+  CheckUnharmed();
+}
+
+// Guards against members that are misread, repeated or ignored, and errors that name no member.
+BOOST_FIXTURE_TEST_CASE(BadMembersAreNamed, Fixture) {
+  CheckBody(With("tier", R"("urgent","tier":"batch")"), "tier");
+  CheckBody(With("prompt", R"({"boxes":1,"boxes":2})"), "boxes");
+  CheckBody(With("prioritty", "1"), "prioritty");
+  for (const char* member : {"organisation", "tier", "pool", "idempotency_key"}) {
+    for (const char* value : {"7", "null", "[]", "true"}) CheckBody(With(member, value), member);
+  }
+  for (const char* value : {"7", "null", "[]", "true"}) CheckBody(With("prompt", value), "prompt");
+  for (const char* member : {"deadline_ms", "max_tokens"}) {
+    for (const char* value :
+         {"\"7\"", "null", "1.5", "1e3", "-1", "0", "86400001", "1e300", "9223372036854775808",
+          "18446744073709551615", "-9223372036854775809"}) {
+      CheckBody(With(member, value), member);
+    }
+  }
+  CheckBody(With("idempotent", "0"), "idempotent");
+  CheckBody(With("organisation", "\"stranger\""), "organisation", 422, "unknown_organisation");
+  CheckBody(With("tier", "\"vip\""), "tier", 422, "unknown_tier");
+  CheckBody(With("pool", "\"none\""), "pool", 422, "unknown_pool");
+  CheckBody(With("idempotent", "false"), "idempotency_key", 422, "missing_idempotency_key");
+  CheckBody(With("idempotency_key", R"("a\r\nx-header: b")"), "idempotency_key");
+  CheckBody(With("pool", "\"booking\""), "idempotent");
+  json body = EngineBody("x");
+  for (const char* member : {"organisation", "tier", "pool", "deadline_ms", "prompt"}) {
+    json partial = body;
+    partial.erase(member);
+    CheckBody(partial.dump(), member);
+  }
+  CheckUnharmed();
+}
+
+// Guards against ids, offsets, tokens and paths that are guessed at instead of refused.
+BOOST_FIXTURE_TEST_CASE(BadIdsAndPathsAreRefused, Fixture) {
+  const std::string body = EngineBody("x").dump();
+  const std::string id = cluster.NewId(0);
+  const std::string incarnation = id.substr(3, 16);
+  const auto submit = [&](const std::string& text) {
+    return RawRequest("POST", "/v1/requests", body, HeaderLine("bluebellpass-request-id", text));
+  };
+  const std::string field = "bluebellpass-request-id";
+  for (const std::string& bad :
+       {std::string("x"), std::string("i1.1.0.n"), id + "/", id + std::string(40, 'n'),
+        std::string(9000, 'i'), "i1." + incarnation + ".9999999.n",
+        "i1." + incarnation + ".-1.n"}) {
+    CheckRefused("id " + bad.substr(0, 60), submit(bad), 400, "bad_request_id", field);
+  }
+  // A ticket of another instance or another process: not dispatched, but the design lets the answer
+  // be unknown, since only the home could say that nothing ran.
+  for (const std::string& foreign :
+       {std::string("i9.0123456789abcdef.0.n"), std::string("i1.0123456789abcdef.0.n")}) {
+    const auto reply = Ask(submit(foreign));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == 502);
+    const json line = json::parse(reply->body, nullptr, false);
+    BOOST_TEST(line.value("error", "") == "home_unreachable");
+    BOOST_TEST(line.value("outcome", "") == "unknown");
+  }
+  for (const char* bad : {"-1", "x", "1x", "99999999999999999999", "%00"}) {
+    const std::string path = "/v1/requests/" + id + "?offset=" + bad;
+    CheckRefused(path, RawRequest("GET", path), 400, "bad_request", "offset");
+    const std::string events = std::string("/v1/events?after=") + bad;
+    CheckRefused(events, RawRequest("GET", events), 400, "bad_request", "after");
+  }
+  for (const char* bad : {"", "x", "a~b~c", "engine1~s~00000000000000000000000000000000"}) {
+    const std::string path = std::string("/v1/resume?offset=0&token=") + bad;
+    CheckRefused(path, RawRequest("GET", path), 400, "bad_request", "token");
+  }
+  for (const char* path : {"/", "/v1", "/v1/request", "/v1/requestsx", "/%ff"}) {
+    CheckRefused(path, RawRequest("GET", path), 400, "bad_request", "path");
+  }
+  for (const char* method : {"DELETE", "PUT", "BREW", "HEAD2"}) {
+    CheckRefused(method, RawRequest(method, "/v1/requests"), 400, "bad_request", "path");
+  }
+  CheckUnharmed();
+}
+
+// Guards against bodies above the limit that are kept, and replies to them that name nothing.
+BOOST_FIXTURE_TEST_CASE(OversizedBodiesAreRefused, Fixture) {
+  // The reply must not wait for the body.
+  const std::string announced = "POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: " +
+                                std::to_string(kMaxBodyBytes + 1) + "\r\n\r\n";
+  CheckRefused("announced", announced, 413, "too_large", "body");
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  const std::string chunked =
+      "POST /v1/requests HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n" +
+      Repeat(chunk, kMaxBodyBytes / 0x10000) + "1\r\nx\r\n";
+  CheckRefused("chunked", chunked, 413, "too_large", "body");
+  std::string longest = EngineBody("").dump();
+  const std::size_t room = kMaxBodyBytes - longest.size();
+  longest = With("tier", "\"none\"");
+  longest += std::string(kMaxBodyBytes - longest.size(), ' ');
+  BOOST_TEST(room > 0U);
+  CheckBody(longest, "tier", 422, "unknown_tier");
+  // Small arrays are the JSON text that takes the most memory when parsed.
+  CheckBody(With("max_tokens", "[" + Repeat("[0],", kMaxBodyBytes / 4 - 100) + "0]"), "max_tokens");
+  CheckUnharmed();
+}
+
+// Guards against ended requests that keep their prompts until their ids expire.
+BOOST_FIXTURE_TEST_CASE(RefusedPromptsAreNotKept, Fixture) {
+  const json body = EngineBody(std::string(kMaxBodyBytes - 1000, 'p'), "urgent", 20, 1);
+  const int requests = 100;
+  for (int i = 0; i < requests; ++i) {
+    const auto reply = Ask(RawRequest("POST", "/v1/requests", body.dump()));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == 504);
+  }
+  CheckUnharmed();
+}
+
+// Guards against unbounded headers.
+BOOST_FIXTURE_TEST_CASE(HeaderFloodsAreRefused, Fixture) {
+  const std::string body = EngineBody("x").dump();
+  std::string many;
+  for (int i = 0; i < 200; ++i) many += HeaderLine("x-" + std::to_string(i), "v");
+  const auto reply = Ask(RawRequest("POST", "/v1/requests", body, many));
+  BOOST_REQUIRE(reply.has_value());
+  // h2o answers what it cannot parse with a text of its own; docs/api.md says so.
+  BOOST_TEST(reply->status == 400);
+  BOOST_TEST(reply->body == "Bad Request");
+  CheckRefused("100 kB",
+               RawRequest("POST", "/v1/requests", body, HeaderLine("x", std::string(100'000, 'v'))),
+               413, "too_large", "headers");
+  for (const char* framing : {"content-length: x\r\n", "content-length: -5\r\n",
+                              "transfer-encoding: gzip\r\n", "transfer-encoding: chunked\r\n"}) {
+    const std::string request = "POST /v1/requests HTTP/1.1\r\nhost: x\r\n" + std::string(framing);
+    CheckRefused(framing, request + "\r\nzz\r\n", 400, "bad_request", "headers");
+  }
+  CheckRefused("100 kB of path", RawRequest("GET", "/" + std::string(100'000, 'p')), 413,
+               "too_large", "headers");
+  CheckUnharmed();
+}
+
+// Guards against connections that are held open for ever by senders that never finish.
+BOOST_FIXTURE_TEST_CASE(SlowSendersAreCutOff, Fixture) {
+  const std::string head = "POST /v1/requests HTTP/1.1\r\nhost: x\r\n";
+  const std::string full = head + "content-length: 1000\r\n\r\n{";
+  std::vector<RawCaller> silent;
+  for (const std::string& start : {std::string(), head, full}) {
+    silent.emplace_back(address);
+    silent.back().Send(start);
+  }
+  std::vector<RawCaller> trickling;
+  for (const std::string& start : {head + "x: ", full}) {
+    trickling.emplace_back(address);
+    trickling.back().Send(start);
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  std::vector<bool> is_open(trickling.size(), true);
+  const auto elapsed = [&] {
+    return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - begin);
+  };
+  while ((is_open[0] || is_open[1]) && elapsed() < kCloseLimit) {
+    const auto view = cluster.Submit(0, EngineBody("meanwhile"));
+    BOOST_TEST(cluster.RunUntil([&] { return view->is_done; }));
+    BOOST_TEST(view->outcome == "completed");
+    for (std::size_t i = 0; i < trickling.size(); ++i) {
+      trickling[i].Send("a");
+      if (!is_open[i] || !trickling[i].IsClosedWithin(Millis{1})) continue;
+      is_open[i] = false;
+      BOOST_TEST_MESSAGE("trickling sender " << i << " closed after ms " << elapsed().count());
+    }
+    cluster.RunFor(Millis{300});
+  }
+  BOOST_TEST(!is_open[0]);
+  BOOST_TEST(!is_open[1]);
+  for (RawCaller& caller : silent) BOOST_TEST(caller.IsClosedWithin(kCloseLimit - elapsed()));
+  const std::size_t served = cluster.Executions().size();
+  const auto reply = Ask(RawRequest("GET", "/healthz"));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply->status == 200);
+  BOOST_TEST(cluster.Executions().size() == served);
+}
+
+// Guards against a daemon that many connections bring to a halt, or that mixes up their replies.
+BOOST_FIXTURE_TEST_CASE(ManyConnectionsAreServed, Fixture) {
+  std::vector<RawCaller> callers;
+  callers.reserve(kConnections);
+  for (int i = 0; i < kConnections; ++i) callers.emplace_back(address);
+  for (int i = 0; i < kConnections; ++i) {
+    const std::string member = "m" + std::to_string(i);
+    callers[static_cast<std::size_t>(i)].Send(
+        RawRequest("POST", "/v1/requests", With(member, "1")));
+  }
+  for (int i = 0; i < kConnections; ++i) {
+    const auto reply = callers[static_cast<std::size_t>(i)].Read();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == 400);
+    const json line = json::parse(reply->body, nullptr, false);
+    BOOST_TEST(line.value("field", "") == "m" + std::to_string(i));
+  }
+  // All of them are still open.
+  CheckUnharmed();
+}
+
+// Guards against replies to pipelined requests that are lost or out of order.
+BOOST_FIXTURE_TEST_CASE(PipelinedRequestsAreAnsweredInOrder, Fixture) {
+  RawCaller caller(address);
+  caller.Send(RawRequest("POST", "/v1/requests", "{") + RawRequest("GET", "/healthz") +
+              RawRequest("POST", "/v1/requests", EngineBody("third").dump()) +
+              RawRequest("GET", "/nowhere"));
+  for (const int status : {400, 200, 200, 400}) {
+    const auto reply = caller.Read();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == status);
+    if (status == 200 && reply->headers.contains("bluebellpass-request-id")) {
+      BOOST_TEST(reply->body.find("\"completed\"") != std::string::npos);
+    }
+  }
+  BOOST_TEST(cluster.Executions().size() == 1U);
+}
+
+}  // namespace bluebellpass
