--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -181,9 +181,11 @@
     if (!name.starts_with(kPrefix) || name == kClientVariable ||
         std::any_of(kSettings.begin(), kSettings.end(), has_name))
       continue;
+    std::string known(kClientVariable);
+    for (const SettingInfo& info : kSettings) known += ", " + EnvironmentName(info.flag);
     // The value is left out: it may be a secret under a misspelt name.
-    return Error{ErrorKind::kBadRequest,
-                 name + " is not a known setting; docs/settings.md lists those allowed", name};
+    return Error{ErrorKind::kBadRequest, name + " is not a known setting; allowed are " + known,
+                 name};
   }
   return std::nullopt;
 }
