Divide the backend servers among instances by an exchangeable ownership

Change: FindOwner becomes a method of an abstract Ownership with three kinds. Shared is the rendezvous hash as before. With the other two an instance owns all cells for its own requests, with the whole capacity (round-robin) or an equal share of slots and token capacity, at least one slot (static). The home and the owner ask the same object; the owner gives its cells the part of the configuration that it owns, again when the members change.

Ruled out: conditions on the policy in the home and the owner, which would have to agree in six places.

The other tests and the fault matrix were not run for this change.

--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -66,6 +66,11 @@
                                          : QueuePolicy::kWeightedFair;
 }
 
+OwnershipKind OwnershipOf(PolicyKind kind) {
+  if (kind == PolicyKind::kRoundRobin) return OwnershipKind::kOwn;
+  return kind == PolicyKind::kStatic ? OwnershipKind::kStaticShare : OwnershipKind::kShared;
+}
+
 HttpServerLimits LimitsOf(const Settings& settings) {
   HttpServerLimits limits;
   limits.max_body_bytes = settings.max_body_bytes;
@@ -86,8 +91,10 @@
                settings.instance.Text() + "." + std::to_string(network.Self().incarnation.Value()),
                WallClockMillis, random),
         tokens(settings.peer_keys),
-        owner(network, loop, PolicyOf(settings.policy)),
-        home(HomeContext{loop, network, config, ledger, {&http, &loop}, tokens, metrics}),
+        ownership(MakeOwnership(OwnershipOf(settings.policy), settings.instance)),
+        owner(network, loop, *ownership, PolicyOf(settings.policy)),
+        home(HomeContext{
+            loop, network, config, ledger, {&http, &loop}, tokens, metrics, *ownership}),
         forwarder(loop, network, home),
         front(FrontContext{loop, network, config, home, forwarder, tokens, {&http, &loop}, metrics},
               LimitsOf(settings)),
@@ -106,6 +113,7 @@
   ConfigTask config;
   StoreLedger ledger;
   ResumeTokens tokens;
+  std::unique_ptr<Ownership> ownership;
   OwnerTask owner;
   HomeTask home;
   Forwarder forwarder;
--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -67,7 +67,7 @@
     return Refuse(request, ErrorKind::kOverloaded, "more urgent work has the whole capacity");
   }
   const CellId cell = CellOf(request);
-  const auto owner = FindOwner(cell, m_context.network.Members());
+  const auto owner = m_context.ownership.FindOwner(cell, m_context.network.Members());
   if (!owner) return;
   const auto synced = m_owners.find(cell);
   if (synced == m_owners.end() || synced->second != *owner) {
@@ -92,7 +92,7 @@
 }
 
 void HomeTask::SyncCell(const CellId& cell) {
-  const auto owner = FindOwner(cell, m_context.network.Members());
+  const auto owner = m_context.ownership.FindOwner(cell, m_context.network.Members());
   if (!owner) return;
   SyncMessage sync;
   sync.cell = cell;
@@ -122,7 +122,7 @@
   }
   const std::vector<Member> members = m_context.network.Members();
   for (const CellId& cell : cells) {
-    const auto owner = FindOwner(cell, members);
+    const auto owner = m_context.ownership.FindOwner(cell, members);
     const auto synced = m_owners.find(cell);
     const bool is_synced = owner && synced != m_owners.end() && synced->second == *owner;
     if (!is_synced) SyncCell(cell);
--- a/src/home/home-task.h
+++ b/src/home/home-task.h
@@ -16,6 +16,7 @@
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
 #include "ledger/ledger.h"
+#include "peer/ownership.h"
 #include "request-id.h"
 #include "resume-token.h"
 #include "submission.h"
@@ -31,6 +32,7 @@
   DriverContext drivers;
   ResumeTokens& tokens;
   Metrics& metrics;
+  const Ownership& ownership;
 };
 
 /// A row of an operator's view of requests.
--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -1,9 +1,9 @@
 #include "owner/owner-task.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "bluebellpass/event.h"
-#include "peer/ownership.h"
 
 namespace bluebellpass {
 namespace {
@@ -33,9 +33,11 @@
 
 }  // namespace
 
-OwnerTask::OwnerTask(PeerNetwork& network, TimerService& timers, QueuePolicy policy)
+OwnerTask::OwnerTask(PeerNetwork& network, TimerService& timers, const Ownership& ownership,
+                     QueuePolicy policy)
     : m_network(network),
       m_timers(timers),
+      m_ownership(ownership),
       m_policy(policy),
       m_suspects([] { return TickHybridClock(); }),
       m_tick(timers) {
@@ -110,26 +112,43 @@
 void OwnerTask::OnMembersChanged() {
   UpdateOwnership();
   const std::vector<Member> members = m_network.Members();
+  const bool is_part_changed = UpdateOwnedPart();
   for (auto& [id, owned] : m_cells) {
     owned.cell->OnMembers(members, m_timers.Now());
+    if (is_part_changed) owned.cell->OnConfig(*m_owned_part, m_timers.Now());
     Flush(*owned.cell);
   }
 }
 
+bool OwnerTask::UpdateOwnedPart() {
+  if (!m_config.has_value()) return false;
+  ClusterConfig part = m_ownership.OwnedPart(*m_config, m_network.Members());
+  const auto is_same = [](const BackendConfig& a, const BackendConfig& b) {
+    return a.slots == b.slots && a.token_capacity == b.token_capacity;
+  };
+  const bool is_changed =
+      !m_owned_part.has_value() ||
+      !std::equal(part.backends.begin(), part.backends.end(), m_owned_part->backends.begin(),
+                  m_owned_part->backends.end(), is_same);
+  m_owned_part = std::move(part);
+  return is_changed;
+}
+
 void OwnerTask::OnPeerStatus(const InstanceId& /*peer*/, const PeerStatus& /*status*/) {}
 
 void OwnerTask::OnConfigApplied(const VersionedConfig& config) {
   m_config = config.config;
+  UpdateOwnedPart();
   UpdateOwnership();
   for (auto& [id, owned] : m_cells) {
-    owned.cell->OnConfig(*m_config, m_timers.Now());
+    owned.cell->OnConfig(*m_owned_part, m_timers.Now());
     Flush(*owned.cell);
   }
   for (const auto& [from, message] : std::exchange(m_early, {})) OnPeerMessage(from, message);
 }
 
 bool OwnerTask::IsOwner(const CellId& id) const {
-  return FindOwner(id, m_network.Members()) == m_network.Self().id;
+  return m_ownership.FindOwner(id, m_network.Members()) == m_network.Self().id;
 }
 
 Cell* OwnerTask::FindCell(const CellId& id) {
@@ -145,7 +164,7 @@
   owned.cell = std::make_unique<Cell>(id, m_policy, first_number, m_suspects);
   owned.is_owned = IsOwner(id);
   owned.cell->OnMembers(m_network.Members(), m_timers.Now());
-  if (m_config.has_value()) owned.cell->OnConfig(*m_config, m_timers.Now());
+  if (m_owned_part.has_value()) owned.cell->OnConfig(*m_owned_part, m_timers.Now());
   LogEvent(EventId::kOwnerTaken, {{"pool", id.pool.Text()}, {"region", id.region.Text()}});
   return *owned.cell;
 }
@@ -156,7 +175,7 @@
   for (auto place = m_cells.begin(); place != m_cells.end();) {
     const auto current = place++;
     const bool was_owned = current->second.is_owned;
-    current->second.is_owned = FindOwner(current->first, members) == self;
+    current->second.is_owned = m_ownership.FindOwner(current->first, members) == self;
     if (!was_owned || current->second.is_owned) continue;
     // The homes reserve again with the new owner, so nothing has to be refused. They are told,
     // because in their own views the owner may not have changed.
@@ -171,7 +190,7 @@
     configured.insert({.pool = backend.pool, .region = backend.region});
   }
   for (const CellId& id : configured) {
-    if (FindOwner(id, members) == self) CellFor(id);
+    if (m_ownership.FindOwner(id, members) == self) CellFor(id);
   }
 }
 
--- a/src/owner/owner-task.h
+++ b/src/owner/owner-task.h
@@ -10,6 +10,7 @@
 #include "bluebellpass/peer.h"
 #include "bluebellpass/timer.h"
 #include "config/config-service.h"
+#include "peer/ownership.h"
 #include "policy/cell.h"
 
 namespace bluebellpass {
@@ -37,9 +38,9 @@
 /// instances take it to own, and turns the cells' actions into messages.
 class OwnerTask : public PeerListener, public ConfigListener {
  public:
-  /// Registers with the network. The caller registers it with the configuration service. Both the
-  /// network and the timers must outlive it.
-  OwnerTask(PeerNetwork& network, TimerService& timers,
+  /// Registers with the network. The caller registers it with the configuration service. The
+  /// network, the timers and the ownership must outlive it.
+  OwnerTask(PeerNetwork& network, TimerService& timers, const Ownership& ownership,
             QueuePolicy policy = QueuePolicy::kWeightedFair);
   OwnerTask(const OwnerTask&) = delete;
   OwnerTask& operator=(const OwnerTask&) = delete;
@@ -86,6 +87,8 @@
   Cell& CellFor(const CellId& id);
   Cell* FindCell(const CellId& id);
   void UpdateOwnership();
+  /// @return true when the capacity that this instance grants has changed
+  bool UpdateOwnedPart();
   void Drop(std::map<CellId, OwnedCell>::iterator place);
   void Tick();
 
@@ -102,12 +105,14 @@
 
   PeerNetwork& m_network;
   TimerService& m_timers;
+  const Ownership& m_ownership;
   QueuePolicy m_policy;
   Suspects m_suspects;
   std::uint64_t m_changes_sent = 0;
   std::map<CellId, OwnedCell> m_cells;
   std::uint64_t m_cells_made = 0;
   std::optional<ClusterConfig> m_config;
+  std::optional<ClusterConfig> m_owned_part;  ///< of the configuration, for the cells
   /// Received before the first configuration, without which nothing can be queued.
   std::vector<std::pair<InstanceId, PeerMessage>> m_early;
   std::set<InstanceId> m_gone;  ///< homes to which a message could not be sent
--- a/src/peer/ownership.cc
+++ b/src/peer/ownership.cc
@@ -1,5 +1,8 @@
 #include "ownership.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace bluebellpass {
 namespace {
 
@@ -23,25 +26,84 @@
   return Mix(StableHash("\n" + instance.Text(), hash));
 }
 
+/// Rendezvous hashing: all instances with the same view agree, and only the cells of an instance
+/// that comes or goes change hands. Members of the cell's region come before others.
+class SharedOwnership : public Ownership {
+ public:
+  std::optional<InstanceId> FindOwner(const CellId& cell,
+                                      const std::vector<Member>& members) const override {
+    const Member* best = nullptr;
+    bool is_best_local = false;
+    std::uint64_t best_weight = 0;
+    for (const Member& member : members) {
+      if (!CanOwn(member)) continue;
+      const bool is_local = member.info.region == cell.region;
+      const std::uint64_t weight = Weight(cell, member.info.id);
+      const bool is_better = best == nullptr || (is_local && !is_best_local) ||
+                             (is_local == is_best_local && weight > best_weight);
+      if (!is_better) continue;
+      best = &member;
+      is_best_local = is_local;
+      best_weight = weight;
+    }
+    if (best == nullptr) return std::nullopt;
+    return best->info.id;
+  }
+
+  ClusterConfig OwnedPart(const ClusterConfig& config,
+                          const std::vector<Member>& /*members*/) const override {
+    return config;
+  }
+};
+
+/// Each instance is the owner of all cells for its own requests.
+class OwnOwnership : public Ownership {
+ public:
+  explicit OwnOwnership(InstanceId self) : m_self(std::move(self)) {}
+
+  std::optional<InstanceId> FindOwner(const CellId& /*cell*/,
+                                      const std::vector<Member>& /*members*/) const override {
+    return m_self;
+  }
+
+  ClusterConfig OwnedPart(const ClusterConfig& config,
+                          const std::vector<Member>& /*members*/) const override {
+    return config;
+  }
+
+ private:
+  InstanceId m_self;
+};
+
+class StaticShareOwnership : public OwnOwnership {
+ public:
+  using OwnOwnership::OwnOwnership;
+
+  ClusterConfig OwnedPart(const ClusterConfig& config,
+                          const std::vector<Member>& members) const override {
+    const auto count =
+        std::max<std::int64_t>(std::count_if(members.begin(), members.end(), CanOwn), 1);
+    ClusterConfig part = config;
+    for (BackendConfig& backend : part.backends) {
+      backend.slots = std::max<std::int64_t>(backend.slots / count, 1);
+      backend.token_capacity = std::max<std::int64_t>(backend.token_capacity / count, 1);
+    }
+    return part;
+  }
+};
+
 }  // namespace
 
-std::optional<InstanceId> FindOwner(const CellId& cell, const std::vector<Member>& members) {
-  const Member* best = nullptr;
-  bool is_best_local = false;
-  std::uint64_t best_weight = 0;
-  for (const Member& member : members) {
-    if (!CanOwn(member)) continue;
-    const bool is_local = member.info.region == cell.region;
-    const std::uint64_t weight = Weight(cell, member.info.id);
-    const bool is_better = best == nullptr || (is_local && !is_best_local) ||
-                           (is_local == is_best_local && weight > best_weight);
-    if (!is_better) continue;
-    best = &member;
-    is_best_local = is_local;
-    best_weight = weight;
+std::unique_ptr<Ownership> MakeOwnership(OwnershipKind kind, const InstanceId& self) {
+  switch (kind) {
+    case OwnershipKind::kOwn:
+      return std::make_unique<OwnOwnership>(self);
+    case OwnershipKind::kStaticShare:
+      return std::make_unique<StaticShareOwnership>(self);
+    case OwnershipKind::kShared:
+      break;
   }
-  if (best == nullptr) return std::nullopt;
-  return best->info.id;
+  return std::make_unique<SharedOwnership>();
 }
 
 }  // namespace bluebellpass
--- a/test/owner-task-test.cc
+++ b/test/owner-task-test.cc
@@ -66,7 +66,8 @@
 struct Fixture {
   ManualTimers timers;
   RecordingNetwork network;
-  OwnerTask owner{network, timers};
+  std::unique_ptr<Ownership> ownership = MakeOwnership(OwnershipKind::kShared, kSelf);
+  OwnerTask owner{network, timers, *ownership};
 
   void Configure() {
     VersionedConfig config;
