--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 BUILD ?= build
 CMAKE_FLAGS ?=
+BENCH_FLAGS ?=
 
 .PHONY: all packages configure run test lint format bench soak clean
 
@@ -21,6 +22,11 @@
 lint: configure
 	support/lint $(BUILD)
 
+# BENCH_FLAGS chooses workloads, policies, deployment, seed and scale; see bench --help.
+bench: configure
+	ninja -C $(BUILD) bench
+	$(BUILD)/bench $(BENCH_FLAGS)
+
 format:
 	git ls-files -co --exclude-standard '*.h' '*.cc' | grep -v '_generated\.h$$' | xargs clang-format -i
 
--- a/test/cluster/cluster.cc
+++ b/test/cluster/cluster.cc
@@ -17,8 +17,6 @@
 
 Address LocalAddress() { return {"127.0.0.1", FreePort()}; }
 
-std::string DataCentreName(int number) { return "dc" + std::to_string(number % 3 + 1); }
-
 /// Takes the lines of an answer as they come.
 void TakeLine(CallerView& view, std::size_t& next_offset, const std::string& line) {
   const json object = json::parse(line, nullptr, false);
@@ -137,6 +135,10 @@
   backend.process = Process(std::move(command), m_log_folder + "/" + backend.name + ".log");
 }
 
+std::string Cluster::DataCentreName(int number) const {
+  return "dc" + std::to_string(number % m_options.data_centres + 1);
+}
+
 void Cluster::WriteConfig() {
   json config = {
       {"tiers",
@@ -156,6 +158,7 @@
                                          {"data_centre", DataCentreName(number++)},
                                          {"region", "region1"},
                                          {"slots", backend->group.slots}});
+    config["backend_servers"].back().merge_patch(backend->group.config);
   }
   config.merge_patch(m_options.extra_config);
   HttpCallRequest call;
@@ -192,7 +195,7 @@
                                       "--peer-key",
                                       kPeerKey,
                                       "--log-level",
-                                      "debug"};
+                                      m_options.log_level};
   for (const Instance& other : m_instances) {
     if (other.name == instance.name) continue;
     command.emplace_back("--seed");
@@ -211,15 +214,23 @@
 }
 
 bool Cluster::WaitReady(int instance, Millis limit) {
-  const auto expected = std::size_t{1};
-  return RunUntil(
-      [&] {
-        const auto reply = Call(CallerAddress(instance), "GET", "/healthz", "", Millis{500});
-        if (!reply || reply->status != 200) return false;
-        const json health = json::parse(reply->body, nullptr, false);
-        return health.value("members", std::size_t{0}) >= expected;
-      },
-      limit);
+  return RunUntil([&] { return KnownMembers(instance) >= 1; }, limit);
+}
+
+std::size_t Cluster::KnownMembers(int instance) {
+  const auto reply = Call(CallerAddress(instance), "GET", "/healthz", "", Millis{500});
+  if (!reply || reply->status != 200) return 0;
+  return json::parse(reply->body, nullptr, false).value("members", std::size_t{0});
+}
+
+bool Cluster::WaitMembers(Millis limit) {
+  const auto knows_all = [&] {
+    for (int number = 0; number < m_options.instances; ++number) {
+      if (KnownMembers(number) < m_instances.size()) return false;
+    }
+    return true;
+  };
+  return RunUntil(knows_all, limit);
 }
 
 std::optional<HttpReply> Cluster::Call(const Address& address, const std::string& method,
@@ -385,6 +396,11 @@
   for (const json& row : list) {
     Execution execution{backend.name, row.value("request_id", ""), row.value("key", ""),
                         row.value("started_ms", std::int64_t{0})};
+    execution.ended_ms = row.value("ended_ms", std::int64_t{0});
+    execution.input_tokens = row.value("input_tokens", std::int64_t{0});
+    execution.cached_tokens = row.value("cached_tokens", std::int64_t{0});
+    execution.output_tokens = row.value("output_tokens", std::int64_t{0});
+    execution.is_cancelled = row.value("state", "") == "cancelled";
     backend.seen[std::to_string(number++)] = execution;
   }
 }
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -22,11 +22,14 @@
   std::string pool;
   int count = 1;
   int slots = 4;
-  std::vector<std::string> flags;  ///< for the stand-in
+  std::vector<std::string> flags;                    ///< for the stand-in
+  nlohmann::json config = nlohmann::json::object();  ///< merged over the server's configuration
 };
 
 struct ClusterOptions {
   int instances = 3;
+  int data_centres = 3;
+  std::string log_level = "debug";  ///< of the daemons
   std::vector<BackendGroup> backends;
   std::vector<std::string> daemon_flags;
   bool has_backend_proxies = false;
@@ -54,6 +57,11 @@
   std::string request_id;
   std::string key;              ///< idempotency key; plain services only
   std::int64_t started_ms = 0;  ///< wall clock
+  std::int64_t ended_ms = 0;    ///< wall clock; 0 while it runs
+  std::int64_t input_tokens = 0;
+  std::int64_t cached_tokens = 0;  ///< part of the input found in the prefix cache
+  std::int64_t output_tokens = 0;
+  bool is_cancelled = false;
 };
 
 /// Real daemons with stand-ins for the platform, on loopback. Everything runs in processes of its
@@ -69,6 +77,8 @@
   /// @return false when it did not hold within the limit
   bool RunUntil(const std::function<bool()>& condition, Millis limit = Millis{10'000});
   void RunFor(Millis time);
+  /// @return the loop on which callers of this process run
+  Loop& EventLoop() { return m_loop; }
 
   // Callers.
   /// @return a ticketed id of an instance, with a nonce that no other call of this cluster uses
@@ -87,6 +97,8 @@
   nlohmann::json Command(int instance, const std::string& text);
 
   // Instances.
+  /// @return true when every instance knows all others
+  bool WaitMembers(Millis limit = Millis{10'000});
   const std::string& InstanceName(int instance) const { return m_instances[Index(instance)].name; }
   Address CallerAddress(int instance) const { return m_instances[Index(instance)].address; }
   Process& Daemon(int instance) { return m_instances[Index(instance)].process; }
@@ -141,9 +153,11 @@
 
   static std::size_t Index(int instance) { return static_cast<std::size_t>(instance); }
   std::unique_ptr<Proxy> StartProxy(const std::string& name, const Address& target);
+  std::string DataCentreName(int number) const;
   void StartDaemon(Instance& instance);
   void StartBackend(BackendServer& backend);
   void WriteConfig();
+  std::size_t KnownMembers(int instance);
   bool WaitListening(const Address& address, const std::string& path);
   void ControlAt(const Address& address, const nlohmann::json& command);
   BackendServer& FindBackend(const std::string& name);
--- a/test/standins/load-driver.cc
+++ b/test/standins/load-driver.cc
@@ -23,6 +23,13 @@
   return error.value("kind", error.value("name", ""));
 }
 
+/// @return a text that no other driver uses, not even one of this process made in the same
+/// millisecond: equal nonces would make different requests share an id
+std::string NoncePrefix() {
+  static std::uint64_t count = 0;
+  return Hex(StableHash(std::to_string(WallMillis()) + "." + std::to_string(++count))) + "n";
+}
+
 double Uniform(std::mt19937_64& random) { return static_cast<double>(random() >> 11U) * 0x1.0p-53; }
 
 }  // namespace
@@ -34,7 +41,7 @@
       m_client(loop),
       m_refresh(loop),
       m_random(m_experiment.streams.size()),
-      m_nonce_prefix(Hex(StableHash(std::to_string(WallMillis()))) + "n") {
+      m_nonce_prefix(NoncePrefix()) {
   for (const LoadStream& stream : m_experiment.streams) {
     m_sources.push_back(
         {.stream = stream, .random = std::mt19937_64(stream.seed), .next_due_s = stream.start_s});
@@ -53,6 +60,18 @@
                      [](const Source& source) { return source.is_ended; });
 }
 
+void LoadDriver::Abandon() {
+  for (Source& source : m_sources) source.is_ended = true;
+  while (!m_waiting.empty()) {
+    const JobPtr job = m_waiting.front();
+    m_waiting.pop_front();
+    ++m_open;
+    Finish(job, "not_sent", "abandoned");
+  }
+  const std::set<JobPtr> running = m_running;
+  for (const JobPtr& job : running) Finish(job, "abandoned", "abandoned");
+}
+
 Json LoadDriver::Summary() const {
   Json summary = m_summary.ToJson();
   summary["unfinished"] = m_arrived - m_finished;
@@ -171,6 +190,8 @@
                {"idempotent", job->stream->is_idempotent},
                {"prompt", job->prompt},
                {"max_tokens", job->stream->max_tokens}};
+  // Services take JSON objects.
+  if (!job->stream->is_idempotent) body["prompt"] = Json{{"text", job->prompt}};
   if (job->key.empty()) job->key = "key-" + nonce;
   if (!job->stream->is_idempotent) body["idempotency_key"] = job->key;
   StartCall(job, {.address = instance.address,
--- a/test/standins/load-driver.h
+++ b/test/standins/load-driver.h
@@ -31,6 +31,9 @@
   /// @return true when all requests have results
   bool IsDone() const;
 
+  /// Ends all requests that have no result yet with the outcome "abandoned".
+  void Abandon();
+
   /// @return counts of the results so far, and of requests without a result as "unfinished"
   Json Summary() const;
 
--- a/test/standins/load-experiment.cc
+++ b/test/standins/load-experiment.cc
@@ -17,6 +17,7 @@
   stream.rate = json.at("rate").get<double>();
   stream.prompt_bytes = json.value("prompt_bytes", stream.prompt_bytes);
   stream.shared_prefix_bytes = json.value("shared_prefix_bytes", stream.shared_prefix_bytes);
+  stream.shared_prefix = json.value("shared_prefix", stream.shared_prefix);
   stream.max_tokens = json.value("max_tokens", stream.max_tokens);
   stream.deadline = Millis{json.value("deadline_ms", stream.deadline.count())};
   stream.is_idempotent = json.value("idempotent", stream.is_idempotent);
@@ -61,7 +62,8 @@
   const std::string name = stream.organisation + "/" + stream.pool + "/" +
                            std::to_string(stream.seed) + "/" +
                            std::to_string(stream.shared_prefix_bytes);
-  std::string prompt = NamedText(name, stream.shared_prefix_bytes);
+  const std::string& prefix = stream.shared_prefix.empty() ? name : stream.shared_prefix;
+  std::string prompt = NamedText(prefix, stream.shared_prefix_bytes);
   prompt.resize(std::min(stream.shared_prefix_bytes, stream.prompt_bytes));
   prompt += NamedText(name + "/" + std::to_string(number), stream.prompt_bytes - prompt.size());
   prompt.resize(stream.prompt_bytes);
--- a/test/standins/load-experiment.h
+++ b/test/standins/load-experiment.h
@@ -18,6 +18,7 @@
   double rate = 1;  ///< requests per second
   std::size_t prompt_bytes = 1'000;
   std::size_t shared_prefix_bytes = 0;  ///< first part of the prompt, the same for the stream
+  std::string shared_prefix;            ///< name of that part, to share it among streams
   std::int64_t max_tokens = 16;
   Millis deadline{10'000};  ///< from the time a request is due
   bool is_idempotent = true;
@@ -52,7 +53,7 @@
   std::int64_t due_ms = 0;
   std::int64_t done_ms = 0;
   std::int64_t first_byte_ms = -1;  ///< from the due time; -1 if no data came
-  std::string outcome;              ///< completed, not_run, unknown, or not_sent
+  std::string outcome;              ///< completed, not_run, unknown, not_sent or abandoned
   std::string error;
   std::size_t bytes = 0;
   int attempts = 0;
