--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -166,11 +166,10 @@
     request.has_claim = false;
   }
   request.phase = Phase::kEnded;
-  request.submission.prompt = std::string();
   request.ended = m_context.loop.Now();
   request.deadline_timer.Stop();
   request.retry_timer.Stop();
-  // The id stays known for more than ten minutes; the prompt is of no more use.
+  // The id stays known for some minutes; the prompt is of no more use.
   Free(request.submission.prompt);
   // The run may be calling at this moment, so it is destroyed in a later turn.
   if (request.run) {
