Count bytes on peer links and measure slopes

Counting in the kernel's TCP statistics was ruled out because it mixes configuration, heartbeats and scheduling.

Links now count frames and bytes by kind, /metrics shows them, and `make slopes` measures idle daemons, configuration sizes and requests with real processes on loopback. The cluster harness takes another build's daemon and a log level, to compare builds.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 CMAKE_FLAGS ?=
 
-.PHONY: all packages configure run test lint format bench soak clean
+.PHONY: all packages configure run test lint format bench soak slopes clean
 
 all: configure
 	ninja -C $(BUILD)
@@ -18,6 +18,10 @@
 test: all
 	support/run-tests $(BUILD)
 
+slopes: configure
+	ninja -C $(BUILD) bluebellpass standin-object-api standin-engine standin-load slopes
+	$(BUILD)/slopes
+
 lint: configure
 	support/lint $(BUILD)
 
--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -72,6 +72,16 @@
   return limits;
 }
 
+void SetTraffic(Metrics& metrics, const std::string& direction,
+                const std::array<TrafficCount, kTrafficKinds>& counts) {
+  for (std::size_t i = 0; i < kTrafficKinds; ++i) {
+    const std::string labels = "direction=\"" + direction + "\",kind=\"" +
+                               std::string(NameOf(static_cast<TrafficKind>(i))) + "\"";
+    metrics.Set("peer_frames", static_cast<double>(counts.at(i).frames), labels);
+    metrics.Set("peer_bytes", static_cast<double>(counts.at(i).bytes), labels);
+  }
+}
+
 }  // namespace
 
 struct Daemon::Parts {
@@ -200,6 +210,9 @@
   metrics.Set("config_version", static_cast<double>(parts.config.Current().version.Value()));
   metrics.Set("config_fresh", parts.config.IsFresh() ? 1 : 0);
   metrics.Set("ledger_pending", static_cast<double>(parts.ledger.PendingCount()));
+  metrics.Set("peer_links", static_cast<double>(parts.network.LinkCount()));
+  SetTraffic(metrics, "sent", parts.network.Traffic().sent);
+  SetTraffic(metrics, "received", parts.network.Traffic().received);
   const CellCounters counters = parts.owner.Counters();
   for (const auto& [tier, tokens] : counters.granted_tokens) {
     metrics.Set("owner_granted_tokens", static_cast<double>(tokens),
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -175,6 +175,8 @@
   auto decoded = DecodeFrame(bytes, IsReady() ? FrameSet::kAll : FrameSet::kHandshake);
   if (!IsOk(decoded)) return Close(ErrorOf(decoded).message);
   Frame& frame = std::get<Frame>(decoded);
+  if (m_context.traffic != nullptr)
+    Count(m_context.traffic->received, frame.body, kLengthBytes + bytes.size());
   const auto* hello = std::get_if<HelloFrame>(&frame.body);
   const auto* auth = std::get_if<AuthFrame>(&frame.body);
   if (m_state == State::kHello && hello != nullptr) return HandleHello(*hello, std::move(bytes));
@@ -239,6 +241,8 @@
     });
     return false;
   }
+  if (m_context.traffic != nullptr)
+    Count(m_context.traffic->sent, frame.body, kLengthBytes + bytes.size());
   m_pending += LengthPrefix(bytes.size());
   m_pending += bytes;
   if (encoded != nullptr) *encoded = std::move(bytes);
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -7,6 +7,7 @@
 
 #include "bluebellpass/timer.h"
 #include "codec.h"
+#include "traffic.h"
 
 struct st_h2o_socket_t;
 
@@ -27,7 +28,8 @@
 /// What a link needs to know of its own side.
 struct LinkContext {
   InstanceInfo self;
-  std::vector<std::string> keys;  ///< the first signs, all are accepted
+  std::vector<std::string> keys;   ///< the first signs, all are accepted
+  LinkTraffic* traffic = nullptr;  ///< counts of all links; may be null
 };
 
 /// The side that signs a proof. It is part of the signed text, so that a proof that is sent back to
--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -76,7 +76,7 @@
                  std::vector<Address> seeds)
     : m_loop(loop),
       m_listen(std::move(listen)),
-      m_context{self, std::move(keys)},
+      m_context{self, std::move(keys), &m_traffic},
       m_random(std::random_device{}()),
       m_membership(std::move(self), loop.Now(), m_random(),
                    [this](const Member& member) { NoteChange(member); }),
--- a/src/peer/network.h
+++ b/src/peer/network.h
@@ -56,6 +56,11 @@
   void Leave() override;
   void AddListener(PeerListener* listener) override { m_listeners.push_back(listener); }
 
+  /// @return frames and bytes on all links since the start
+  const LinkTraffic& Traffic() const { return m_traffic; }
+  /// @return number of authenticated links
+  std::size_t LinkCount() const { return m_ready.size(); }
+
  private:
   struct ReadyLink {
     std::shared_ptr<Link> link;
@@ -106,6 +111,7 @@
 
   Loop& m_loop;
   Address m_listen;
+  LinkTraffic m_traffic;
   LinkContext m_context;
   std::mt19937 m_random;
   Membership m_membership;
--- a/test/cluster/cluster.cc
+++ b/test/cluster/cluster.cc
@@ -173,26 +173,28 @@
   const int number = std::stoi(instance.name.substr(1)) - 1;
   const Address& store = m_store_proxy ? m_store_proxy->address : m_store;
   const Address& peer = instance.peer_proxy ? instance.peer_proxy->address : instance.peer;
-  std::vector<std::string> command = {BinaryFolder() + "/bluebellpass",
-                                      "serve",
-                                      "--instance",
-                                      instance.name,
-                                      "--data-centre",
-                                      DataCentreName(number),
-                                      "--region",
-                                      "region1",
-                                      "--listen",
-                                      instance.address.Text(),
-                                      "--peer-listen",
-                                      instance.peer.Text(),
-                                      "--peer-advertise",
-                                      peer.Text(),
-                                      "--object-api",
-                                      store.Text(),
-                                      "--peer-key",
-                                      kPeerKey,
-                                      "--log-level",
-                                      "debug"};
+  const std::string& other_binary = m_options.daemon_binary;
+  std::vector<std::string> command = {
+      other_binary.empty() ? BinaryFolder() + "/bluebellpass" : other_binary,
+      "serve",
+      "--instance",
+      instance.name,
+      "--data-centre",
+      DataCentreName(number),
+      "--region",
+      "region1",
+      "--listen",
+      instance.address.Text(),
+      "--peer-listen",
+      instance.peer.Text(),
+      "--peer-advertise",
+      peer.Text(),
+      "--object-api",
+      store.Text(),
+      "--peer-key",
+      kPeerKey,
+      "--log-level",
+      m_options.log_level};
   for (const Instance& other : m_instances) {
     if (other.name == instance.name) continue;
     command.emplace_back("--seed");
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -29,6 +29,8 @@
   int instances = 3;
   std::vector<BackendGroup> backends;
   std::vector<std::string> daemon_flags;
+  std::string log_level = "debug";
+  std::string daemon_binary;  ///< path; empty for the one of this build
   bool has_backend_proxies = false;
   bool has_store_proxy = false;
   bool has_peer_proxies = false;
@@ -95,6 +97,7 @@
   bool WaitReady(int instance, Millis limit = Millis{10'000});
   /// @return the index of the instance that owns the pool's cell, by its events
   int OwnerOf(const std::string& pool);
+  const Address& StoreAddress() const { return m_store; }
 
   // Platform.
   Process& Backend(const std::string& name);
--- a/test/cluster/process.h
+++ b/test/cluster/process.h
@@ -21,6 +21,7 @@
   Process(Process&& other) noexcept;
   Process& operator=(Process&& other) noexcept;
 
+  pid_t Pid() const { return m_pid; }
   bool IsRunning();
   void Signal(int number) const;
   /// Kills with SIGKILL and waits.
