Read the entries of other instances once per version

Each daemon lists instances/ once a minute and then read every other entry, so the fleet's reads grew with the square of its size: 2,660 a second at 400 daemons, more than the object API gives. A longer period was ruled out, because an instance that knows no peer depends on it.

The listing carries versions; an entry is now read again only when its version has changed or the last read has failed.

--- a/src/front/instance-directory.cc
+++ b/src/front/instance-directory.cc
@@ -1,6 +1,7 @@
 #include "instance-directory.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "config/address.h"
 
@@ -12,7 +13,8 @@
 constexpr char kPrefix[] = "instances/";
 constexpr Millis kRegisterRetry{1'000};
 // Listings only help an instance that knows no peer; links and gossip find the rest. At 400
-// instances one listing a minute each is under 7 calls a second.
+// instances one listing a minute each is under 7 calls a second. An entry is read once for each of
+// its versions: reading all of them with each listing would be 2,660 calls a second.
 constexpr Millis kListPeriod{60'000};
 constexpr Millis kListRetry{2'000};
 
@@ -62,18 +64,29 @@
 void InstanceDirectory::ReadOthers() {
   m_store.List(kPrefix, [this](const Result<std::vector<ObjectEntry>>& result) {
     const bool is_ok = IsOk(result);
-    if (is_ok) {
-      for (const ObjectEntry& entry : std::get<0>(result)) {
-        if (entry.key != m_key) ReadOne(entry.key);
-      }
-    }
+    if (is_ok) ReadChanged(std::get<0>(result));
     m_list_timer.Start(is_ok ? kListPeriod : kListRetry, [this] { ReadOthers(); });
   });
 }
 
+void InstanceDirectory::ReadChanged(const std::vector<ObjectEntry>& entries) {
+  // Entries that are gone from the list are forgotten.
+  const auto known = std::exchange(m_read, {});
+  for (const ObjectEntry& entry : entries) {
+    if (entry.key == m_key) continue;
+    const auto read = known.find(entry.key);
+    if (read != known.end() && read->second == entry.version) {
+      m_read.insert(*read);
+    } else {
+      ReadOne(entry.key);
+    }
+  }
+}
+
 void InstanceDirectory::ReadOne(const std::string& key) {
-  m_store.Get(key, [this](const Result<Versioned>& result) {
+  m_store.Get(key, [this, key](const Result<Versioned>& result) {
     if (!IsOk(result)) return;
+    m_read[key] = std::get<Versioned>(result).version;
     const json entry = json::parse(std::get<Versioned>(result).value, nullptr, false);
     if (!entry.is_object()) return;
     const auto text = entry.find("peer_address");
--- a/src/front/instance-directory.h
+++ b/src/front/instance-directory.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "bluebellpass/peer.h"
 #include "bluebellpass/store.h"
@@ -14,7 +16,8 @@
 /// there. Only a help to find peers: the list lags and decides nothing.
 class InstanceDirectory {
  public:
-  /// @param on_found gets the peer address of each other instance, again with each listing
+  /// @param on_found gets the peer address of each other instance, once for each version of its
+  /// entry
   InstanceDirectory(ObjectStore& store, TimerService& timers, InstanceInfo self,
                     std::function<void(const Address&)> on_found);
   InstanceDirectory(const InstanceDirectory&) = delete;
@@ -31,6 +34,7 @@
   void Write(ObjectVersion expected);
   void RetryRegister();
   void ReadOthers();
+  void ReadChanged(const std::vector<ObjectEntry>& entries);
   void ReadOne(const std::string& key);
 
   ObjectStore& m_store;
@@ -38,6 +42,7 @@
   std::function<void(const Address&)> m_on_found;
   std::string m_key;
   ObjectVersion m_version;
+  std::map<std::string, ObjectVersion> m_read;  ///< versions of the others' entries that were read
   bool m_is_leaving = false;
   Timer m_register_timer;
   Timer m_list_timer;
