Exchange heartbeats once per period on each link

Both sides of a link pinged every 500 ms and acknowledged each other's pings, so each link carried twice the heartbeats that the 2 s silence bound needs. A period of 1 s was ruled out: it would leave one lost period before a link is closed and delay the versions that heartbeats report.

An Ack says all that a ping says, so it now puts off the next ping. The acceptor waits 200 ms longer, so that only the initiator pings while both run. Each side still sends a heartbeat each 500 ms.

--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -237,6 +237,16 @@
   ready.link->Send(PingFrame{MakeHeartbeat(ready.link->Peer().id, with_rest)});
 }
 
+void Network::SendAck(ReadyLink& ready) {
+  const TimePoint now = m_loop.Now();
+  // An Ack says what the next ping would say, so that ping is put off. The acceptor waits longer,
+  // so that only the initiator pings while both run.
+  const bool is_acceptor = ready.link->Side() == LinkSide::kAcceptor;
+  ready.next_ping = now + kHeartbeatPeriod + (is_acceptor ? kAcceptorDelay : Millis{0});
+  const bool with_rest = now - ready.since < kFullGossipTime;
+  ready.link->Send(AckFrame{MakeHeartbeat(ready.link->Peer().id, with_rest)});
+}
+
 void Network::Probe(const InstanceId& id) {
   const auto found = m_ready.find(id);
   if (found != m_ready.end()) {
@@ -295,7 +305,9 @@
     Notify([&](PeerListener& listener) { listener.OnPeerMessage(from, *message); });
   } else if (const auto* ping = std::get_if<PingFrame>(&frame.body)) {
     HandleHeartbeat(from, ping->heartbeat);
-    if (link.IsReady()) link.Send(AckFrame{MakeHeartbeat(from, false)});
+    // A listener may have closed the link.
+    const auto ready = m_ready.find(from);
+    if (ready != m_ready.end() && ready->second.link.get() == &link) SendAck(ready->second);
   } else if (const auto* ack = std::get_if<AckFrame>(&frame.body)) {
     HandleHeartbeat(from, ack->heartbeat);
   }
--- a/src/peer/network.h
+++ b/src/peer/network.h
@@ -23,6 +23,9 @@
 /// Links on demand are closed after this time without messages.
 constexpr Millis kIdleTimeout{60'000};
 constexpr Millis kHeartbeatPeriod{500};
+/// How much longer the acceptor of a link waits for the initiator's ping before it pings itself;
+/// two turns of the network's timer.
+constexpr Millis kAcceptorDelay{200};
 
 /// The network between instances over authenticated TCP links. Listeners may call Close but must
 /// not destroy the network.
@@ -92,6 +95,7 @@
   void Tick();
   void CheckLinks(TimePoint now);
   void SendPing(ReadyLink& ready, bool with_rest);
+  void SendAck(ReadyLink& ready);
   Heartbeat MakeHeartbeat(const InstanceId& to, bool with_rest);
   void HandleHeartbeat(const InstanceId& from, const Heartbeat& heartbeat);
   bool Replaces(const Link& link, const Link& old) const;
--- a/test/network-test.cc
+++ b/test/network-test.cc
@@ -300,6 +300,35 @@
   BOOST_TEST(from.Send(to, 2));
 }
 
+// Guards against a second exchange of heartbeats for each period, which doubles the bytes of an
+// idle link. A slow machine makes the bound larger, never smaller.
+BOOST_FIXTURE_TEST_CASE(OneExchangeOfHeartbeatsPerPeriod, Fixture) {
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int i = 0; i < 6; ++i) {
+    const Address seed = nodes.empty() ? Address{"127.0.0.1", 1} : nodes.front()->address;
+    nodes.push_back(std::make_unique<Node>(loop, "n" + std::to_string(i), std::vector{seed}));
+  }
+  const auto count = [&](auto of_node) {
+    std::uint64_t sum = 0;
+    for (const auto& node : nodes) sum += of_node(*node->network);
+    return sum;
+  };
+  const auto sent = [](const Network& network) {
+    return network.Traffic().sent.at(static_cast<std::size_t>(TrafficKind::kHeartbeat)).frames;
+  };
+  const auto links = [](const Network& network) { return network.LinkCount(); };
+  BOOST_REQUIRE(RunUntil([&] { return count(links) == 30; }));
+  RunFor(Millis{1'000});
+  const std::uint64_t before = count(sent);
+  const TimePoint start = loop.Now();
+  RunFor(Millis{3'000});
+  const auto periods = static_cast<std::uint64_t>((loop.Now() - start) / kHeartbeatPeriod) + 1;
+  const auto probes = static_cast<std::uint64_t>((loop.Now() - start) / kProbePeriod) + 1;
+  // An exchange is one frame of each side; the membership of each node begins one more a second.
+  BOOST_TEST(count(sent) - before <= 30 * periods + 2 * nodes.size() * probes);
+  BOOST_TEST(count(sent) - before > 30);
+}
+
 // Guards against a peer that does not read and lets the memory of its sender grow.
 BOOST_FIXTURE_TEST_CASE(FullSendBufferClosesTheLink, Fixture) {
   Node a(loop, "a", {});
