Close links for pings once the ping is answered

Above 16 members a ping to a random member opens a link. Becoming ready asked for the link for the idle time of 60 s, so an instance that pings one member a second kept up to 60 links it had opened and as many accepted ones; each carried 16 gossip entries with every heartbeat for its first 10 s. Fewer permanent links were ruled out as a first step: they were not the larger part.

A link between members that know each other is now wanted for the 3 s of a ping and carries full gossip once. A new or changed member still gets full gossip for 10 s, over a link that is kept as long.

--- a/src/peer/membership.cc
+++ b/src/peer/membership.cc
@@ -49,6 +49,12 @@
   return found == m_entries.end() ? nullptr : &found->second.update.member;
 }
 
+std::optional<TimePoint> Membership::ChangedAt(const InstanceId& id) const {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) return std::nullopt;
+  return found->second.since;
+}
+
 std::vector<Member> Membership::Members(TimePoint now) const {
   std::vector<Member> members;
   members.reserve(m_entries.size());
--- a/src/peer/membership.h
+++ b/src/peer/membership.h
@@ -65,6 +65,8 @@
   const InstanceInfo& Self() const { return m_entries.at(m_self).update.member.info; }
   /// @return the member, or nullptr when it is unknown
   const Member* Find(const InstanceId& id) const;
+  /// @return when the member was first heard of or has last changed; nullopt when it is unknown
+  std::optional<TimePoint> ChangedAt(const InstanceId& id) const;
   std::uint64_t Uptime(TimePoint now) const;
 
  private:
--- a/src/peer/network.cc
+++ b/src/peer/network.cc
@@ -21,7 +21,9 @@
 constexpr std::size_t kMaxHandshakes = 128;
 // After a gap between ticks of this length the silence of others says nothing.
 constexpr Millis kPauseBound{1000};
-// A new link carries full gossip for this long, so that a new instance learns the fleet quickly.
+// A new link carries full gossip for this long if its peer is new or has changed as recently, so
+// that a new instance learns the fleet quickly. Links for pings between members that know each
+// other carry it once.
 constexpr Millis kFullGossipTime{10'000};
 // How long a link for a ping outlives it.
 constexpr Millis kProbeDemand{3000};
@@ -218,7 +220,16 @@
     link->CheckSilence(now);
   }
   for (auto& [id, ready] : m_ready)
-    if (now >= ready.next_ping) SendPing(ready, now - ready.since < kFullGossipTime);
+    if (now >= ready.next_ping) SendPing(ready, NeedsFullGossip(ready, now));
+}
+
+bool Network::HasChangedLately(const InstanceId& id, TimePoint now) const {
+  const auto changed = m_membership.ChangedAt(id);
+  return changed && now - *changed < kFullGossipTime;
+}
+
+bool Network::NeedsFullGossip(const ReadyLink& ready, TimePoint now) const {
+  return now - ready.since < kFullGossipTime && HasChangedLately(ready.link->Peer().id, now);
 }
 
 Heartbeat Network::MakeHeartbeat(const InstanceId& to, bool with_rest) {
@@ -243,8 +254,7 @@
   // so that only the initiator pings while both run.
   const bool is_acceptor = ready.link->Side() == LinkSide::kAcceptor;
   ready.next_ping = now + kHeartbeatPeriod + (is_acceptor ? kAcceptorDelay : Millis{0});
-  const bool with_rest = now - ready.since < kFullGossipTime;
-  ready.link->Send(AckFrame{MakeHeartbeat(ready.link->Peer().id, with_rest)});
+  ready.link->Send(AckFrame{MakeHeartbeat(ready.link->Peer().id, NeedsFullGossip(ready, now))});
 }
 
 void Network::Probe(const InstanceId& id) {
@@ -286,13 +296,17 @@
   auto& ready = m_ready[peer.id];
   ready = {link.shared_from_this(), now, now};
   m_membership.Met(peer, now);
-  if (link.Side() == LinkSide::kInitiator) Demand(peer.id, kIdleTimeout);
+  const bool is_new = HasChangedLately(peer.id, now);
+  const bool is_initiator = link.Side() == LinkSide::kInitiator;
+  // A link without messages is kept no longer than its ping needs. Keeping it for the idle time
+  // would link an instance with 60 members, since it pings another one each second.
+  if (is_initiator) Demand(peer.id, is_new ? kFullGossipTime : kProbeDemand);
   for (Seed& seed : m_seeds)
     if (seed.address == link.Dialled()) seed.found = peer.id;
   LogEvent(EventId::kLinkUp, {{"peer", peer.id.Text()},
                               {"incarnation", Signed(peer.incarnation.Value())},
                               {"address", peer.peer_address.Text()}});
-  SendPing(ready, true);
+  SendPing(ready, is_new || is_initiator);
   Notify([&](PeerListener& listener) { listener.OnLinkUp(peer.id, peer.incarnation); });
 }
 
--- a/src/peer/network.h
+++ b/src/peer/network.h
@@ -96,6 +96,8 @@
   void CheckLinks(TimePoint now);
   void SendPing(ReadyLink& ready, bool with_rest);
   void SendAck(ReadyLink& ready);
+  bool HasChangedLately(const InstanceId& id, TimePoint now) const;
+  bool NeedsFullGossip(const ReadyLink& ready, TimePoint now) const;
   Heartbeat MakeHeartbeat(const InstanceId& to, bool with_rest);
   void HandleHeartbeat(const InstanceId& from, const Heartbeat& heartbeat);
   bool Replaces(const Link& link, const Link& old) const;
--- a/test/network-test.cc
+++ b/test/network-test.cc
@@ -329,6 +329,22 @@
   BOOST_TEST(count(sent) - before > 30);
 }
 
+// Guards against links for pings that are kept for the idle time, after which every instance of a
+// large fleet is linked with tens of others.
+BOOST_FIXTURE_TEST_CASE(LinksForPingsAreClosedSoon, Fixture) {
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int i = 0; i < 30; ++i) {
+    const Address seed = nodes.empty() ? Address{"127.0.0.1", 1} : nodes.front()->address;
+    nodes.push_back(std::make_unique<Node>(loop, "n" + std::to_string(i), std::vector{seed}));
+  }
+  RunFor(Millis{18'000});
+  std::size_t links = 0;
+  for (const auto& node : nodes) links += node->network->LinkCount();
+  // 29 when all are linked with all, at most 16 permanent ones and a few for pings otherwise.
+  BOOST_TEST(links / nodes.size() <= 22U);
+  for (const auto& node : nodes) BOOST_TEST(node->network->Members().size() == nodes.size());
+}
+
 // Guards against a peer that does not read and lets the memory of its sender grow.
 BOOST_FIXTURE_TEST_CASE(FullSendBufferClosesTheLink, Fixture) {
   Node a(loop, "a", {});
