Read the configuration only when it is newer

Each instance that polls read the whole document once a second, although it rarely changes: a megabyte a second each for a document of a megabyte. Longer periods were ruled out, since freshness needs a confirmed read within 2 s.

The poll is now a watch that does not wait, which the object API answers without a body while the version is the same. It is still one call a second and a confirmed read. The test's store answers it under the same faults and counts the documents it sends; the checks are unchanged.

--- a/src/config/config-task.cc
+++ b/src/config/config-task.cc
@@ -47,16 +47,19 @@
   const std::uint64_t generation = ++m_read_generation;
   m_read_started = now;
   m_last_read = now;
-  m_store.Get(detail::kConfigKey, Guard([this, generation, now](const Result<Versioned>& result) {
-                OnRead(generation, now, result);
-              }));
+  // A watch that does not wait is a conditional read: the document is sent only when it is newer,
+  // otherwise each instance that polls would read up to a megabyte a second.
+  m_store.Watch(detail::kConfigKey, KnownVersion(), Millis{0},
+                Guard([this, generation, now](const Result<std::optional<Versioned>>& result) {
+                  OnRead(generation, now, result);
+                }));
 }
 
 void ConfigTask::OnRead(std::uint64_t generation, TimePoint started,
-                        const Result<Versioned>& result) {
+                        const Result<std::optional<Versioned>>& result) {
   const bool is_answered = IsOk(result) || ErrorOf(result).kind == ErrorKind::kNotFound;
-  if (IsOk(result)) {
-    const auto& read = std::get<0>(result);
+  if (IsOk(result) && std::get<0>(result)) {
+    const Versioned& read = *std::get<0>(result);
     Apply(read.version, read.value, Source::kStore);
   }
   // The store's state is confirmed as of the time at which the read was sent.
--- a/src/config/config-task.h
+++ b/src/config/config-task.h
@@ -73,7 +73,8 @@
 
   void Tick();
   void Poll();
-  void OnRead(std::uint64_t generation, TimePoint started, const Result<Versioned>& result);
+  void OnRead(std::uint64_t generation, TimePoint started,
+              const Result<std::optional<Versioned>>& result);
   void RenewWatch();
   void OnWatched(std::uint64_t generation, const Result<std::optional<Versioned>>& result);
   void Apply(ObjectVersion version, const std::string& document, Source source);
--- a/test/config-task-test.cc
+++ b/test/config-task-test.cc
@@ -75,10 +75,22 @@
   }
   void Delete(const std::string&, ObjectVersion, std::function<void(Result<Ok>)>) override {}
   void List(const std::string&, std::function<void(Result<std::vector<ObjectEntry>>)>) override {}
-  void Watch(const std::string& /*key*/, ObjectVersion /*after*/, Millis /*wait*/,
-             std::function<void(Result<std::optional<Versioned>>)> /*done*/) override {
+  void Watch(const std::string& /*key*/, ObjectVersion after, Millis wait,
+             std::function<void(Result<std::optional<Versioned>>)> done) override {
+    if (wait == Millis{0}) return Read(after, done);
     ++watches;  // Stays pending, so that the tests see what reads alone do.
   }
+  /// A conditional read; without a newer version the answer has no document.
+  void Read(ObjectVersion after,
+            const std::function<void(Result<std::optional<Versioned>>)>& done) {
+    using R = Result<std::optional<Versioned>>;
+    ++gets;
+    if (fault == Fault::kSilent) return;
+    if (fault == Fault::kUnavailable) return Answer(done, R(Error{ErrorKind::kStoreUnavailable}));
+    if (version <= after.Value()) return Answer(done, R(std::optional<Versioned>{}));
+    ++documents;
+    Answer(done, R(std::optional(Versioned{value, ObjectVersion(version)})));
+  }
   bool Write(const std::string& text, ObjectVersion expected) {
     if (expected.Value() != version) return false;
     value = text;
@@ -91,7 +103,7 @@
   std::uint64_t version = 0;
   Fault fault = Fault::kNone;
   Fault put_fault = Fault::kNone;  ///< of the next write only
-  int gets = 0, watches = 0, writes = 0;
+  int gets = 0, documents = 0, watches = 0, writes = 0;
 
  private:
   ManualTimers& m_timers;
@@ -295,6 +307,21 @@
   BOOST_TEST(store.gets - before <= 11);
 }
 
+// Guards against polls that carry the whole document although it has not changed, which at a
+// megabyte costs each instance that polls a megabyte a second.
+BOOST_FIXTURE_TEST_CASE(PollsCarryOnlyNewDocuments, Fixture) {
+  task.Start();
+  timers.Advance(Millis{5'000});
+  const int before = store.documents;
+  const int gets = store.gets;
+  timers.Advance(Millis{10'000});
+  BOOST_TEST(store.gets > gets + 5);
+  BOOST_TEST(store.documents == before);
+  BOOST_TEST(store.Write(store.value, ObjectVersion(store.version)));
+  timers.Advance(Millis{3'000});
+  BOOST_TEST(store.documents == before + 1);
+}
+
 // Guards against peers that keep an old version although a link stands.
 BOOST_FIXTURE_TEST_CASE(NewVersionsSpreadAndLaggardsAreRepaired, ThirdFixture) {
   network.sent.clear();
