--- a/src/peer/network.h
+++ b/src/peer/network.h
@@ -23,6 +23,9 @@
 /// Links on demand are closed after this time without messages.
 constexpr Millis kIdleTimeout{60'000};
 constexpr Millis kHeartbeatPeriod{500};
+/// How much longer the acceptor of a link waits for the initiator's ping before it pings itself;
+/// two turns of the network's timer.
+constexpr Millis kAcceptorDelay{200};
 
 /// The network between instances over authenticated TCP links. Listeners may call Close but must
 /// not destroy the network.
@@ -56,6 +59,11 @@
   void Leave() override;
   void AddListener(PeerListener* listener) override { m_listeners.push_back(listener); }
 
+  /// @return frames and bytes on all links since the start
+  const LinkTraffic& Traffic() const { return m_traffic; }
+  /// @return number of authenticated links
+  std::size_t LinkCount() const { return m_ready.size(); }
+
  private:
   struct ReadyLink {
     std::shared_ptr<Link> link;
@@ -87,6 +95,9 @@
   void Tick();
   void CheckLinks(TimePoint now);
   void SendPing(ReadyLink& ready, bool with_rest);
+  void SendAck(ReadyLink& ready);
+  bool HasChangedLately(const InstanceId& id, TimePoint now) const;
+  bool NeedsFullGossip(const ReadyLink& ready, TimePoint now) const;
   Heartbeat MakeHeartbeat(const InstanceId& to, bool with_rest);
   void HandleHeartbeat(const InstanceId& from, const Heartbeat& heartbeat);
   bool Replaces(const Link& link, const Link& old) const;
@@ -106,6 +117,7 @@
 
   Loop& m_loop;
   Address m_listen;
+  LinkTraffic m_traffic;
   LinkContext m_context;
   std::mt19937 m_random;
   Membership m_membership;
