Carry out orders to engines

Cause: `load backend` was parsed, but no task carried it out.

Ruled out: keeping progress (issued, done) in `orders/<server>`. Each such write would raise the object's version, which is the fencing number, and a new owner can learn the same from `GET /v1/loaded`. A watch for each server was ruled out because a pending watch counts as a call, so their number would grow with the servers.

Change: src/orders/ writes the desired state by one conditional update and answers with its version. The owner of the server's cell compares it with what is loaded, keeps grants away, waits until nothing runs (60 s at most, and 5 s after it became owner, before which the homes may not have synced), takes a token of `orders/rate`, reads the version again, orders and reads back; at engines that ignore the number again after 2 s and 10 s. A reported fencing number other than the order's counts as a mismatch, so a late order for another model is seen too. Lost answers of the store are read back by a mark in the object or the token's id. At most a quarter of a cell's servers, and at least one, are held at the same time. A server named "rate" takes no orders, because its object would be the record of loads.

Calls: an instance that owns cells reads desired states at most once a second, however many servers it has (open ones every 5 s, others every 15 s). An order sent costs a read and a write of `orders/rate` and one read of its object.

Conclusion: one open order per server, one call in progress at a time. A failed order is not repeated until a new command or a new owner.

--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -14,6 +14,7 @@
 #include "instance-directory.h"
 #include "ledger/store-ledger.h"
 #include "operator-task.h"
+#include "orders/order-task.h"
 #include "owner/owner-task.h"
 #include "peer/network.h"
 #include "store/http-store.h"
@@ -61,6 +62,11 @@
   return self;
 }
 
+/// Names this process in the objects that it writes.
+std::string WriterOf(const InstanceInfo& self) {
+  return self.id.Text() + "." + std::to_string(self.incarnation.Value());
+}
+
 QueuePolicy PolicyOf(PolicyKind kind) {
   return kind == PolicyKind::kRoundRobin ? QueuePolicy::kFifoRoundRobin
                                          : QueuePolicy::kWeightedFair;
@@ -82,11 +88,12 @@
         directory(store, loop, network.Self(),
                   [this](const Address& address) { network.AddSeed(address); }),
         config(store, network, loop),
-        ledger(store, loop,
-               settings.instance.Text() + "." + std::to_string(network.Self().incarnation.Value()),
-               WallClockMillis, random),
+        ledger(store, loop, WriterOf(network.Self()), WallClockMillis, random),
         tokens(settings.peer_keys),
         owner(network, loop, PolicyOf(settings.policy)),
+        engines(http),
+        orders(
+            OrderContext{store, loop, engines, owner, WriterOf(network.Self()), WallClockMillis}),
         home(HomeContext{loop, network, config, ledger, {&http, &loop}, tokens, metrics}),
         forwarder(loop, network, home),
         front(FrontContext{loop, network, config, home, forwarder, tokens, {&http, &loop}, metrics},
@@ -107,6 +114,8 @@
   StoreLedger ledger;
   ResumeTokens tokens;
   OwnerTask owner;
+  HttpEngineClient engines;
+  OrderTask orders;
   HomeTask home;
   Forwarder forwarder;
   HttpFront front;
@@ -132,6 +141,13 @@
   parts.network.AddListener(&parts.operators);
   parts.config.AddListener(&parts.owner);
   parts.config.AddListener(&parts.home);
+  parts.config.AddListener(&parts.orders);
+  parts.operators.SetOrderHandler([&parts](const LoadCommand& command, auto done) {
+    parts.orders.Load(command, std::move(done));
+  });
+  parts.operators.SetOrderView([&parts](const BackendId& backend) {
+    return std::string(OrderStateName(parts.orders.State(backend)));
+  });
   parts.front.SetCommandHandler([&parts](const std::string& text, auto done) {
     parts.operators.Execute(text, std::move(done));
   });
--- a/src/front/operator-task.cc
+++ b/src/front/operator-task.cc
@@ -69,7 +69,7 @@
       return {"id",      "instance",    "organisation", "tier",   "pool",
               "backend", "data_centre", "phase",        "age_ms", "error"};
     case ShowTopic::kBackends:
-      return {"backend", "pool", "region", "data_centre", "state", "owner"};
+      return {"backend", "pool", "region", "data_centre", "state", "owner", "order"};
     case ShowTopic::kInstances:
       return {"instance", "state", "data_centre", "region", "address", "leaving"};
     case ShowTopic::kConfig:
@@ -116,9 +116,9 @@
     if (!m_orders) {
       return SendError(reply, {ErrorKind::kInternal, "orders are not available", ""});
     }
-    m_orders(*load, [reply](const Result<Ok>& result) {
+    m_orders(*load, [reply](const Result<ObjectVersion>& result) {
       if (!IsOk(result)) return SendError(reply, ErrorOf(result));
-      reply(200, Dump({{"accepted", true}}));
+      reply(200, Dump({{"accepted", std::get<ObjectVersion>(result).Value()}}));
     });
   }
 }
@@ -267,6 +267,7 @@
                     {"data_centre", backend == nullptr ? "" : backend->data_centre.Text()},
                     {"state", row.backend.is_active ? "active" : "leaving"},
                     {"owner", m_context.network.Self().id.Text()},
+                    {"order", m_order_view ? m_order_view(row.backend.id) : ""},
                     {"slots_used", row.backend.slots_used},
                     {"slots", row.backend.slots},
                     {"tokens_used", row.backend.tokens_used},
--- a/src/front/operator-task.h
+++ b/src/front/operator-task.h
@@ -30,9 +30,11 @@
  public:
   /// @param status HTTP status of the reply
   using Reply = std::function<void(int status, std::string json)>;
-  /// Carries out a `load` command.
-  using OrderHandler =
-      std::function<void(const LoadCommand& command, std::function<void(Result<Ok>)> done)>;
+  /// Accepts a `load` command; gives the version of the desired state when it is written.
+  using OrderHandler = std::function<void(const LoadCommand& command,
+                                          std::function<void(Result<ObjectVersion>)> done)>;
+  /// @return the state of the order of a backend server of a cell that is owned here, as text
+  using OrderView = std::function<std::string(const BackendId& backend)>;
 
   explicit OperatorTask(OperatorContext context);
   OperatorTask(const OperatorTask&) = delete;
@@ -43,6 +45,7 @@
   void Execute(const std::string& text, Reply reply);
 
   void SetOrderHandler(OrderHandler handler) { m_orders = std::move(handler); }
+  void SetOrderView(OrderView view) { m_order_view = std::move(view); }
 
   void OnPeerMessage(const InstanceId& from, const PeerMessage& message) override;
   void OnLinkUp(const InstanceId& /*peer*/, Incarnation /*incarnation*/) override {}
@@ -76,6 +79,7 @@
 
   OperatorContext m_context;
   OrderHandler m_orders;
+  OrderView m_order_view;
   std::uint64_t m_next_exchange = 1;
   std::map<std::uint64_t, std::unique_ptr<Query>> m_queries;
 };
--- /dev/null
+++ b/src/orders/engine-client.cc
@@ -0,0 +1,45 @@
+#include "orders/engine-client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace bluebellpass {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+void HttpEngineClient::Send(const Address& engine, const EngineOrder& order,
+                            std::function<void(Result<int>)> done) {
+  const nlohmann::json body = {{"fencing", order.fencing.Value()},
+                               {"order", "load_model"},
+                               {"model", order.model},
+                               {"version", order.version}};
+  HttpCallRequest request{
+      .address = engine,
+      .method = "POST",
+      .path = "/v1/orders",
+      .headers = {{"content-type", "application/json"}},
+      .body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+  m_http.Fetch(std::move(request), [done = std::move(done)](const Result<HttpReply>& reply) {
+    if (!IsOk(reply)) return done(ErrorOf(reply));
+    done(std::get<HttpReply>(reply).status);
+  });
+}
+
+void HttpEngineClient::ReadLoaded(const Address& engine,
+                                  std::function<void(Result<LoadedModels>)> done) {
+  HttpCallRequest request{.address = engine, .path = "/v1/loaded"};
+  m_http.Fetch(std::move(request), [done = std::move(done)](const Result<HttpReply>& result) {
+    if (!IsOk(result)) return done(ErrorOf(result));
+    const auto& reply = std::get<HttpReply>(result);
+    const auto loaded = ParseLoaded(reply.body);
+    if (reply.status != kStatusOk || !loaded.has_value()) {
+      return done(Error{ErrorKind::kInternal, "malformed report of loaded models", ""});
+    }
+    done(*loaded);
+  });
+}
+
+}  // namespace bluebellpass
--- /dev/null
+++ b/src/orders/rate-limiter.cc
@@ -0,0 +1,50 @@
+#include "orders/rate-limiter.h"
+
+#include <utility>
+
+namespace bluebellpass {
+namespace {
+
+// Attempts of one instance do not compete with each other.
+constexpr Millis kBusyWait{200};
+// After a conflict or a lost answer the record is read again.
+constexpr Millis kErrorWait{500};
+
+}  // namespace
+
+void RateLimiter::Take(const std::string& id, double per_minute, Done done) {
+  if (m_is_busy) return done(kBusyWait);
+  m_is_busy = true;
+  m_store.Get(std::string(kRateKey), [this, id, per_minute, weak = std::weak_ptr(m_alive),
+                                      done = std::move(done)](const Result<Versioned>& result) {
+    if (!weak.expired()) OnRead(result, id, per_minute, done);
+  });
+}
+
+void RateLimiter::OnRead(const Result<Versioned>& result, const std::string& id, double per_minute,
+                         const Done& done) {
+  const auto end = [this, &done](std::optional<Millis> wait) {
+    m_is_busy = false;
+    done(wait);
+  };
+  std::optional<LoadRecord> record;
+  ObjectVersion version;
+  if (IsOk(result)) {
+    record = LoadRecord::Parse(std::get<Versioned>(result).value);
+    version = std::get<Versioned>(result).version;
+  } else if (ErrorOf(result).kind == ErrorKind::kNotFound) {
+    record.emplace();
+  }
+  if (!record.has_value()) return end(kErrorWait);
+  if (record->Has(id)) return end(std::nullopt);
+  const auto wait = record->Take(id, m_wall_clock(), per_minute);
+  if (wait.has_value()) return end(wait);
+  m_store.Put(std::string(kRateKey), record->Format(), version,
+              [this, done, weak = std::weak_ptr(m_alive)](const Result<ObjectVersion>& written) {
+                if (weak.expired()) return;
+                m_is_busy = false;
+                done(IsOk(written) ? std::nullopt : std::optional(kErrorWait));
+              });
+}
+
+}  // namespace bluebellpass
--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -143,7 +143,7 @@
   if (!is_new) return *owned.cell;
   const std::uint64_t first_number = (++m_cells_made << kNumberBits) + 1;
   owned.cell = std::make_unique<Cell>(id, m_policy, first_number, m_suspects);
-  owned.is_owned = IsOwner(id);
+  owned.SetOwned(IsOwner(id), m_timers.Now());
   owned.cell->OnMembers(m_network.Members(), m_timers.Now());
   if (m_config.has_value()) owned.cell->OnConfig(*m_config, m_timers.Now());
   LogEvent(EventId::kOwnerTaken, {{"pool", id.pool.Text()}, {"region", id.region.Text()}});
@@ -156,7 +156,7 @@
   for (auto place = m_cells.begin(); place != m_cells.end();) {
     const auto current = place++;
     const bool was_owned = current->second.is_owned;
-    current->second.is_owned = FindOwner(current->first, members) == self;
+    current->second.SetOwned(FindOwner(current->first, members) == self, m_timers.Now());
     if (!was_owned || current->second.is_owned) continue;
     // The homes reserve again with the new owner, so nothing has to be refused. They are told,
     // because in their own views the owner may not have changed.
@@ -306,6 +306,35 @@
   return rows;
 }
 
+std::vector<OwnedBackend> OwnerTask::Owned() const {
+  std::vector<OwnedBackend> list;
+  if (!m_config.has_value()) return list;
+  std::map<CellId, std::map<BackendId, std::int64_t>> running;
+  for (const auto& [id, owned] : m_cells) {
+    if (!owned.is_owned) continue;
+    for (const BackendRow& row : owned.cell->Load().Rows()) running[id][row.id] = row.slots_used;
+  }
+  for (const BackendConfig& config : m_config->backends) {
+    const CellId cell{.pool = config.pool, .region = config.region};
+    const auto counts = running.find(cell);
+    if (counts == running.end()) continue;
+    list.push_back({.config = config,
+                    .cell = cell,
+                    .running = counts->second[config.id],
+                    .owned_since = m_cells.at(cell).owned_since});
+  }
+  return list;
+}
+
+void OwnerTask::Hold(const BackendId& backend, bool is_held) {
+  const BackendConfig* config = m_config.has_value() ? m_config->FindBackend(backend) : nullptr;
+  if (config == nullptr) return;
+  Cell* cell = FindCell({.pool = config->pool, .region = config->region});
+  if (cell == nullptr) return;
+  cell->Hold(backend, is_held, m_timers.Now());
+  Flush(*cell);
+}
+
 bool OwnerTask::Release(Fingerprint content) {
   if (!m_suspects.Release(content, m_timers.Now())) return false;
   LogEvent(EventId::kReleased, {{"fingerprint", std::to_string(content.Value())}});
--- a/src/owner/owner-task.h
+++ b/src/owner/owner-task.h
@@ -10,6 +10,7 @@
 #include "bluebellpass/peer.h"
 #include "bluebellpass/timer.h"
 #include "config/config-service.h"
+#include "owner/backend-control.h"
 #include "policy/cell.h"
 
 namespace bluebellpass {
@@ -35,7 +36,7 @@
 
 /// Performs the owner role: keeps a Cell for each cell that this instance owns or that other
 /// instances take it to own, and turns the cells' actions into messages.
-class OwnerTask : public PeerListener, public ConfigListener {
+class OwnerTask : public PeerListener, public ConfigListener, public BackendControl {
  public:
   /// Registers with the network. The caller registers it with the configuration service. Both the
   /// network and the timers must outlive it.
@@ -52,6 +53,9 @@
   void OnPeerStatus(const InstanceId& peer, const PeerStatus& status) override;
   void OnConfigApplied(const VersionedConfig& config) override;
 
+  std::vector<OwnedBackend> Owned() const override;
+  void Hold(const BackendId& backend, bool is_held) override;
+
   std::vector<WaitingRow> Waiting() const;
   std::vector<CellBackendRow> Backends() const;
   /// @return suspects and quarantined contents; entries with 0 deaths are recent releases
@@ -70,6 +74,12 @@
   struct OwnedCell {
     std::unique_ptr<Cell> cell;
     bool is_owned = false;  ///< in the view of this instance
+    TimePoint owned_since;
+
+    void SetOwned(bool is_now, TimePoint now) {
+      if (is_now && !is_owned) owned_since = now;
+      is_owned = is_now;
+    }
   };
 
   void Handle(const InstanceId& from, const ReserveMessage& message);
--- a/src/policy/backend-load.cc
+++ b/src/policy/backend-load.cc
@@ -70,13 +70,14 @@
       m_largest_capacity = std::max(m_largest_capacity, config.token_capacity);
     }
   }
+  for (auto& [id, server] : m_servers) server.is_held &= server.is_configured;
   std::erase_if(m_servers, [](const auto& row) {
     return !row.second.is_configured && row.second.slots_used == 0;
   });
 }
 
 bool BackendLoad::HasRoom(const Server& server, const Demand& demand, TimePoint now) const {
-  if (!server.IsActive() || server.runs_alone > 0) return false;
+  if (!server.MayTakeWork() || server.runs_alone > 0) return false;
   if (server.slots_used >= server.config.slots) return false;
   if (server.backoff.count() > 0 && (now < server.retry_at || server.slots_used > 0)) return false;
   if (demand.is_alone && server.slots_used > 0) return false;
@@ -131,7 +132,7 @@
 std::optional<BackendId> BackendLoad::LeastLoaded(const Demand& demand, TimePoint now) const {
   const Server* best = nullptr;
   for (const auto& [id, server] : m_servers) {
-    if (!server.IsActive() || (server.backoff.count() > 0 && now < server.retry_at)) continue;
+    if (!server.MayTakeWork() || (server.backoff.count() > 0 && now < server.retry_at)) continue;
     const std::int64_t tokens = demand.Total().Value();
     const bool is_too_small = !server.IsService() && tokens > server.config.token_capacity &&
                               tokens <= m_largest_capacity;
@@ -145,12 +146,17 @@
 std::optional<BackendId> BackendLoad::InTurn() {
   std::vector<const BackendId*> active;
   for (const auto& [id, server] : m_servers) {
-    if (server.IsActive()) active.push_back(&id);
+    if (server.MayTakeWork()) active.push_back(&id);
   }
   if (active.empty()) return std::nullopt;
   return *active[m_turn++ % active.size()];
 }
 
+void BackendLoad::Hold(const BackendId& backend, bool is_held) {
+  const auto place = m_servers.find(backend);
+  if (place != m_servers.end()) place->second.is_held = is_held;
+}
+
 void BackendLoad::Begin(const BackendId& backend, Tokens tokens, bool is_alone) {
   Server& server = m_servers[backend];
   if (server.config.id.IsEmpty()) server.config.id = backend;
@@ -215,7 +221,7 @@
 
 bool BackendLoad::HasFreeSlot() const {
   return std::any_of(m_servers.begin(), m_servers.end(), [](const auto& row) {
-    return row.second.IsActive() && row.second.slots_used < row.second.config.slots;
+    return row.second.MayTakeWork() && row.second.slots_used < row.second.config.slots;
   });
 }
 
@@ -230,6 +236,7 @@
                     .tokens_used = server.tokens_used,
                     .prefill_tokens_per_second = server.prefill_speed,
                     .decode_tokens_per_second = server.decode_speed,
+                    .is_held = server.is_held,
                     .is_backing_off = server.backoff.count() > 0});
   }
   return rows;
--- a/src/policy/backend-load.h
+++ b/src/policy/backend-load.h
@@ -34,6 +34,7 @@
   std::int64_t tokens_used = 0;
   double prefill_tokens_per_second = 0;  ///< learned
   double decode_tokens_per_second = 0;   ///< learned, of one stream
+  bool is_held = false;                  ///< gets no grants while a model is loaded
   bool is_backing_off = false;           ///< died lately and has completed nothing since
 };
 
@@ -65,6 +66,9 @@
   /// @return the next active server in turn, whatever its load
   std::optional<BackendId> InTurn();
 
+  /// Keeps new grants away from a server, whatever its state, or ends that.
+  void Hold(const BackendId& backend, bool is_held);
+
   /// Counts a run. Unknown servers are counted too, for the case that they are configured later.
   void Begin(const BackendId& backend, Tokens tokens, bool is_alone);
   /// Ends the count of a run, with the same arguments.
@@ -95,6 +99,7 @@
   struct Server {
     BackendConfig config;
     bool is_configured = false;
+    bool is_held = false;
     std::int64_t slots_used = 0;
     std::int64_t tokens_used = 0;
     std::int64_t runs_alone = 0;
@@ -105,6 +110,7 @@
     TimePoint retry_at;
 
     bool IsActive() const { return is_configured && config.state == BackendState::kActive; }
+    bool MayTakeWork() const { return IsActive() && !is_held; }
     bool IsService() const { return config.kind == "service"; }
     double Load() const;
   };
--- a/src/policy/cell.cc
+++ b/src/policy/cell.cc
@@ -341,6 +341,11 @@
   }
 }
 
+void Cell::Hold(const BackendId& backend, bool is_held, TimePoint now) {
+  m_load.Hold(backend, is_held);
+  if (!is_held) Schedule(now);
+}
+
 void Cell::Tick(TimePoint now) {
   RefuseAll(m_queue.ExpireBefore(now), ErrorKind::kDeadlineExceeded);
   if (now - m_floor_sent_at >= kFloorRetry) SendFloorAsk(now);
--- a/src/policy/cell.h
+++ b/src/policy/cell.h
@@ -77,6 +77,8 @@
   void OnConfig(const ClusterConfig& config, TimePoint now);
   void OnFloorAck(const InstanceId& from, const FloorAckMessage& ack, TimePoint now);
   void OnMembers(const std::vector<Member>& members, TimePoint now);
+  /// Keeps new grants away from a server, or ends that.
+  void Hold(const BackendId& backend, bool is_held, TimePoint now);
   /// Expires deadlines and asks for floors again; to be called every 100 ms or so.
   void Tick(TimePoint now);
 
--- a/test/cell-test.cc
+++ b/test/cell-test.cc
@@ -237,6 +237,23 @@
   BOOST_TEST(!suspects.IsSuspect(Fingerprint(StableHash("x")), At(0)));
 }
 
+// Guards against grants to a server that drains for a load, and against one that stays without work
+// after the hold has ended or after it was taken out of the configuration while held.
+BOOST_FIXTURE_TEST_CASE(HeldServerGetsNoWork, Fixture) {
+  cell.OnConfig(Config({Server("a", 4)}), At(0));
+  cell.Hold(BackendId("a"), true, At(0));
+  Reserve(Work("x"));
+  BOOST_TEST(grants.empty());
+  cell.Hold(BackendId("a"), false, At(1));
+  Collect();
+  BOOST_TEST(grants.size() == 1);
+  cell.Hold(BackendId("a"), true, At(2));
+  cell.OnConfig(Config({}), At(3));
+  cell.OnConfig(Config({Server("a", 4)}), At(4));
+  Reserve(Work("y"), 5);
+  BOOST_TEST(grants.size() == 2);
+}
+
 // Guards against a prefix that moves between servers without need, and a baseline that queues.
 BOOST_FIXTURE_TEST_CASE(PrefixAndRoundRobin, Fixture) {
   cell.OnConfig(Config({Server("a", 4), Server("b", 4)}), At(0));
