Apply shift rules in the cell

Cause: `shift pool` changed the configuration, but the cell did not look at its rules.

Ruled out: choosing by the reservation's number or at random, which would give a request another answer on each retry; and one hash for all rules, because the requests that two rules of one source take would then be the same.

Change: a request falls into a rule by a stable hash of its id and the rule's source; rules with the same source take consecutive ranges of the percentage. The servers of the source are left out while the destination has an active server in the cell. The rule is ignored for a request that no other active server can hold, else it would wait until its deadline. The check for infeasible deadlines counts only the servers that remain.

Conclusion: the rule takes effect with the configuration, for waiting requests too.

--- a/src/policy/backend-load.cc
+++ b/src/policy/backend-load.cc
@@ -54,6 +54,11 @@
   return std::max(slots, tokens);
 }
 
+bool BackendLoad::Server::IsAvoided(const Demand& demand) const {
+  const auto& avoided = demand.avoided;
+  return std::find(avoided.begin(), avoided.end(), config.data_centre) != avoided.end();
+}
+
 void BackendLoad::Configure(const std::vector<BackendConfig>& backends) {
   for (auto& [id, server] : m_servers) server.is_configured = false;
   m_largest_capacity = 0;
@@ -78,6 +83,7 @@
 
 bool BackendLoad::HasRoom(const Server& server, const Demand& demand, TimePoint now) const {
   if (!server.MayTakeWork() || server.runs_alone > 0) return false;
+  if (server.IsAvoided(demand)) return false;
   if (server.slots_used >= server.config.slots) return false;
   if (server.backoff.count() > 0 && (now < server.retry_at || server.slots_used > 0)) return false;
   if (demand.is_alone && server.slots_used > 0) return false;
@@ -132,7 +138,8 @@
 std::optional<BackendId> BackendLoad::LeastLoaded(const Demand& demand, TimePoint now) const {
   const Server* best = nullptr;
   for (const auto& [id, server] : m_servers) {
-    if (!server.MayTakeWork() || (server.backoff.count() > 0 && now < server.retry_at)) continue;
+    if (!server.MayTakeWork() || server.IsAvoided(demand)) continue;
+    if (server.backoff.count() > 0 && now < server.retry_at) continue;
     const std::int64_t tokens = demand.Total().Value();
     const bool is_too_small = !server.IsService() && tokens > server.config.token_capacity &&
                               tokens <= m_largest_capacity;
@@ -208,10 +215,27 @@
   }
 }
 
+bool BackendLoad::HasActive(const DataCentre& data_centre) const {
+  return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& row) {
+    return row.second.IsActive() && row.second.config.data_centre == data_centre;
+  });
+}
+
+bool BackendLoad::CanAvoid(const Demand& demand) const {
+  const std::int64_t tokens = demand.Total().Value();
+  return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& row) {
+    const Server& server = row.second;
+    if (!server.IsActive() || server.IsAvoided(demand)) return false;
+    // What is too large for all servers may run alone on any.
+    return server.IsService() || tokens <= server.config.token_capacity ||
+           tokens > m_largest_capacity;
+  });
+}
+
 std::optional<Millis> BackendLoad::FastestEmpty(const Demand& demand) const {
   std::optional<double> fastest;
   for (const auto& [id, server] : m_servers) {
-    if (!server.IsActive()) continue;
+    if (!server.IsActive() || server.IsAvoided(demand)) continue;
     const double time = ExpectedSeconds(server, demand);
     if (!fastest.has_value() || time < *fastest) fastest = time;
   }
--- a/src/policy/backend-load.h
+++ b/src/policy/backend-load.h
@@ -46,7 +46,8 @@
     Tokens prompt;
     Tokens output;
     Fingerprint prefix;
-    bool is_alone = false;  ///< only on a server with nothing else running
+    bool is_alone = false;            ///< only on a server with nothing else running
+    std::vector<DataCentre> avoided;  ///< their servers are left out
 
     Tokens Total() const { return prompt + output; }
   };
@@ -86,6 +87,12 @@
   /// slow phase could make the owner refuse all work and never learn that it is over.
   void Drift(TimePoint now);
 
+  /// @return true when the data centre has an active server
+  bool HasActive(const DataCentre& data_centre) const;
+
+  /// @return true when some active server outside the avoided data centres can hold the demand
+  bool CanAvoid(const Demand& demand) const;
+
   /// @return shortest time in which an active, empty server could complete the demand; nullopt
   /// when no server is active
   std::optional<Millis> FastestEmpty(const Demand& demand) const;
@@ -113,6 +120,7 @@
     bool MayTakeWork() const { return IsActive() && !is_held; }
     bool IsService() const { return config.kind == "service"; }
     double Load() const;
+    bool IsAvoided(const Demand& demand) const;
   };
 
   bool HasRoom(const Server& server, const Demand& demand, TimePoint now) const;
--- a/src/policy/cell.cc
+++ b/src/policy/cell.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "policy/shift-rules.h"
+
 namespace bluebellpass {
 namespace {
 
@@ -34,10 +36,19 @@
 }
 
 BackendLoad::Demand Cell::DemandOf(const Reservation& reservation, TimePoint now) const {
-  return {.prompt = reservation.prompt_tokens,
-          .output = reservation.max_output_tokens,
-          .prefix = reservation.prefix,
-          .is_alone = m_suspects.IsSuspect(reservation.content, now)};
+  BackendLoad::Demand demand{.prompt = reservation.prompt_tokens,
+                             .output = reservation.max_output_tokens,
+                             .prefix = reservation.prefix,
+                             .is_alone = m_suspects.IsSuspect(reservation.content, now)};
+  ApplyShifts(demand, reservation.id);
+  return demand;
+}
+
+void Cell::ApplyShifts(BackendLoad::Demand& demand, const RequestId& id) const {
+  for (const ShiftRule* rule : RulesFor(m_shifts, id)) {
+    if (m_load.HasActive(rule->to)) demand.avoided.push_back(rule->from);
+  }
+  if (!demand.avoided.empty() && !m_load.CanAvoid(demand)) demand.avoided.clear();
 }
 
 void Cell::OnReserve(const InstanceId& home, const Reservation& reservation, TimePoint now) {
@@ -82,8 +93,10 @@
 }
 
 bool Cell::IsInfeasible(const Reservation& reservation) const {
-  const std::optional<Millis> fastest = m_load.FastestEmpty(
-      {.prompt = reservation.prompt_tokens, .output = reservation.max_output_tokens});
+  BackendLoad::Demand demand{.prompt = reservation.prompt_tokens,
+                             .output = reservation.max_output_tokens};
+  ApplyShifts(demand, reservation.id);
+  const std::optional<Millis> fastest = m_load.FastestEmpty(demand);
   if (!fastest.has_value()) return false;
   return static_cast<double>(fastest->count()) * kInfeasibleMargin >
          static_cast<double>(reservation.remaining.count());
@@ -302,6 +315,9 @@
                  return backend.pool == m_id.pool && backend.region == m_id.region;
                });
   m_load.Configure(backends);
+  m_shifts.clear();
+  std::copy_if(config.shifts.begin(), config.shifts.end(), std::back_inserter(m_shifts),
+               [this](const ShiftRule& rule) { return rule.pool == m_id.pool; });
 
   // Rebuilding forgets what the organisations and tiers have had, so it is done for need only.
   if (HasOrderChanged(old_tiers, old_organisations)) RebuildQueue();
--- a/src/policy/cell.h
+++ b/src/policy/cell.h
@@ -135,6 +135,7 @@
   void EndRunning(std::map<RunKey, Running>::iterator place);
   void CountDeath(const ReleaseMessage& release, const Running* ended, TimePoint now);
   void DropHome(const InstanceId& home);
+  void ApplyShifts(BackendLoad::Demand& demand, const RequestId& id) const;
   BackendLoad::Demand DemandOf(const Reservation& reservation, TimePoint now) const;
 
   CellId m_id;
@@ -150,6 +151,7 @@
   TierMap m_tiers;
   std::map<TierRank, std::int64_t> m_bounds;  ///< bytes, of the tiers configured
   OrganisationMap m_organisations;
+  std::vector<ShiftRule> m_shifts;  ///< of the pool
   std::map<RunKey, Running> m_running;
   std::size_t m_suspects_running = 0;
   std::vector<CellAction> m_actions;
