--- a/src/policy/backend-load.h
+++ b/src/policy/backend-load.h
@@ -34,6 +34,7 @@
   std::int64_t tokens_used = 0;
   double prefill_tokens_per_second = 0;  ///< learned
   double decode_tokens_per_second = 0;   ///< learned, of one stream
+  bool is_held = false;                  ///< gets no grants while a model is loaded
   bool is_backing_off = false;           ///< died lately and has completed nothing since
 };
 
@@ -45,7 +46,8 @@
     Tokens prompt;
     Tokens output;
     Fingerprint prefix;
-    bool is_alone = false;  ///< only on a server with nothing else running
+    bool is_alone = false;            ///< only on a server with nothing else running
+    std::vector<DataCentre> avoided;  ///< their servers are left out
 
     Tokens Total() const { return prompt + output; }
   };
@@ -65,6 +67,9 @@
   /// @return the next active server in turn, whatever its load
   std::optional<BackendId> InTurn();
 
+  /// Keeps new grants away from a server, whatever its state, or ends that.
+  void Hold(const BackendId& backend, bool is_held);
+
   /// Counts a run. Unknown servers are counted too, for the case that they are configured later.
   void Begin(const BackendId& backend, Tokens tokens, bool is_alone);
   /// Ends the count of a run, with the same arguments.
@@ -82,6 +87,12 @@
   /// slow phase could make the owner refuse all work and never learn that it is over.
   void Drift(TimePoint now);
 
+  /// @return true when the data centre has an active server
+  bool HasActive(const DataCentre& data_centre) const;
+
+  /// @return true when some active server outside the avoided data centres can hold the demand
+  bool CanAvoid(const Demand& demand) const;
+
   /// @return shortest time in which an active, empty server could complete the demand; nullopt
   /// when no server is active
   std::optional<Millis> FastestEmpty(const Demand& demand) const;
@@ -95,6 +106,7 @@
   struct Server {
     BackendConfig config;
     bool is_configured = false;
+    bool is_held = false;
     std::int64_t slots_used = 0;
     std::int64_t tokens_used = 0;
     std::int64_t runs_alone = 0;
@@ -105,8 +117,10 @@
     TimePoint retry_at;
 
     bool IsActive() const { return is_configured && config.state == BackendState::kActive; }
+    bool MayTakeWork() const { return IsActive() && !is_held; }
     bool IsService() const { return config.kind == "service"; }
     double Load() const;
+    bool IsAvoided(const Demand& demand) const;
   };
 
   bool HasRoom(const Server& server, const Demand& demand, TimePoint now) const;
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -32,7 +32,6 @@
   std::string log_level = "debug";  ///< of the daemons
   std::vector<BackendGroup> backends;
   std::vector<std::string> daemon_flags;
-  std::string log_level = "debug";
   std::string daemon_binary;  ///< path; empty for the one of this build
   bool has_backend_proxies = false;
   bool has_store_proxy = false;
--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -185,7 +185,9 @@
   FakeLedger ledger;
   ResumeTokens tokens{{"a-key-for-tests-only"}};
   Metrics metrics;
-  HomeTask home{HomeContext{loop, network, config, ledger, {nullptr, &loop}, tokens, metrics}};
+  std::unique_ptr<Ownership> ownership = MakeOwnership(OwnershipKind::kShared, kSelf);
+  HomeTask home{
+      HomeContext{loop, network, config, ledger, {nullptr, &loop}, tokens, metrics, *ownership}};
 };
 
 ErrorKind KindOf(const FakeSink& sink) { return sink.end->error->kind; }
@@ -379,7 +381,8 @@
 // Guards against memory that grows with answers which nobody fetches, and against a caller that is
 // told anything but the truth about an answer that was dropped.
 BOOST_FIXTURE_TEST_CASE(KeptAnswersAreBounded, Fixture) {
-  HomeTask small(HomeContext{loop, network, config, ledger, {nullptr, &loop}, tokens, metrics, 4});
+  HomeTask small(
+      HomeContext{loop, network, config, ledger, {nullptr, &loop}, tokens, metrics, *ownership, 4});
   const ParsedRequestId id{small.IssueTicket(), "n"};
   const std::string body =
       R"({"organisation":"o","tier":"urgent","pool":"p","deadline_ms":60000,"prompt":"x"})";
