Use engines' load reports as a hint

Cause: an owner that does not know of runs on an engine, for example those of another owner or of a home that has died, fills the engine beyond its slots.

Ruled out: comparing a report with the present count. A report is late, so own runs that have just ended would look like work of others and take free slots away. Adding the surplus without a bound was ruled out too, because a report that is wrong for good would stop grants for good.

Change: the owner reads `GET /load` of the engines of its cells every 2 s, at times spread over the period (src/owner/load-poller). What two reports in a row show above the highest own count of the last three periods counts as used slots until the next report. A server on which nothing is counted keeps one slot. When a report cannot be had, the surplus ends and only the own count is left.

--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -15,6 +15,7 @@
 #include "ledger/store-ledger.h"
 #include "operator-task.h"
 #include "orders/order-task.h"
+#include "owner/load-poller.h"
 #include "owner/owner-task.h"
 #include "peer/network.h"
 #include "store/http-store.h"
@@ -91,6 +92,7 @@
         ledger(store, loop, WriterOf(network.Self()), WallClockMillis, random),
         tokens(settings.peer_keys),
         owner(network, loop, PolicyOf(settings.policy)),
+        load_poller(http, loop, owner),
         engines(http),
         orders(
             OrderContext{store, loop, engines, owner, WriterOf(network.Self()), WallClockMillis}),
@@ -114,6 +116,7 @@
   StoreLedger ledger;
   ResumeTokens tokens;
   OwnerTask owner;
+  LoadPoller load_poller;
   HttpEngineClient engines;
   OrderTask orders;
   HomeTask home;
--- a/src/owner/backend-control.h
+++ b/src/owner/backend-control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "bluebellpass/config.h"
@@ -27,6 +28,10 @@
   /// Keeps new grants away from a server, or ends that. Does nothing for a server that is not
   /// owned; a hold ends with the ownership of the cell.
   virtual void Hold(const BackendId& backend, bool is_held) = 0;
+
+  /// Takes note of a server's own report of its load, which is only a hint.
+  /// @param active runs reported, some time ago; nullopt when no report could be had
+  virtual void OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active) = 0;
 };
 
 }  // namespace bluebellpass
--- /dev/null
+++ b/src/owner/load-poller.cc
@@ -0,0 +1,76 @@
+#include "owner/load-poller.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace bluebellpass {
+namespace {
+
+constexpr Millis kReportPeriod{2'000};
+constexpr Millis kTickPeriod{200};
+// A report that takes longer is given up; it is late by then anyway.
+constexpr Millis kReportTimeout{1'000};
+constexpr std::uint64_t kSlots = kReportPeriod / kTickPeriod;
+constexpr std::string_view kEngineKind = "engine";
+constexpr int kStatusOk = 200;
+// Keeps sums of reported runs far from overflow.
+constexpr std::uint64_t kMostRuns = 1'000'000;
+
+}  // namespace
+
+std::optional<std::int64_t> ParseLoadReport(std::string_view text) {
+  const auto report = nlohmann::json::parse(text, nullptr, false);
+  if (!report.is_object() || !report.contains("active")) return std::nullopt;
+  if (!report.at("active").is_number_unsigned()) return std::nullopt;
+  const auto active = report.at("active").get<std::uint64_t>();
+  return static_cast<std::int64_t>(std::min(active, kMostRuns));
+}
+
+LoadPoller::LoadPoller(HttpClient& http, TimerService& timers, BackendControl& control)
+    : m_http(http), m_timers(timers), m_control(control), m_tick(timers) {
+  m_tick.StartPeriodic(kTickPeriod, [this] { Tick(); });
+}
+
+void LoadPoller::Tick() {
+  const TimePoint now = m_timers.Now();
+  std::map<BackendId, std::optional<TimePoint>> kept;
+  std::vector<BackendConfig> to_read;
+  for (const OwnedBackend& owned : m_control.Owned()) {
+    if (owned.config.kind != kEngineKind) continue;
+    auto node = m_due.extract(owned.config.id);
+    if (node.empty()) {
+      kept[owned.config.id] = now + kTickPeriod * (m_joined++ % kSlots);
+      continue;
+    }
+    std::optional<TimePoint>& due = node.mapped();
+    if (due.has_value() && now >= *due) {
+      due.reset();
+      to_read.push_back(owned.config);
+    }
+    kept.insert(std::move(node));
+  }
+  m_due = std::move(kept);
+  for (const BackendConfig& backend : to_read) Read(backend);
+}
+
+void LoadPoller::Read(const BackendConfig& backend) {
+  const TimePoint next = m_timers.Now() + kReportPeriod;
+  HttpCallRequest request{.address = backend.address,
+                          .path = "/load",
+                          .connect_timeout = kReportTimeout,
+                          .idle_timeout = kReportTimeout};
+  m_http.Fetch(std::move(request), [this, next, id = backend.id, weak = std::weak_ptr(m_alive)](
+                                       const Result<HttpReply>& result) {
+    if (weak.expired()) return;
+    const auto found = m_due.find(id);
+    if (found != m_due.end()) found->second = next;
+    std::optional<std::int64_t> active;
+    if (IsOk(result) && std::get<HttpReply>(result).status == kStatusOk) {
+      active = ParseLoadReport(std::get<HttpReply>(result).body);
+    }
+    m_control.OnLoadReport(id, active);
+  });
+}
+
+}  // namespace bluebellpass
--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -326,10 +326,21 @@
   return list;
 }
 
-void OwnerTask::Hold(const BackendId& backend, bool is_held) {
+Cell* OwnerTask::FindCellOf(const BackendId& backend) {
   const BackendConfig* config = m_config.has_value() ? m_config->FindBackend(backend) : nullptr;
-  if (config == nullptr) return;
-  Cell* cell = FindCell({.pool = config->pool, .region = config->region});
+  if (config == nullptr) return nullptr;
+  return FindCell({.pool = config->pool, .region = config->region});
+}
+
+void OwnerTask::OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active) {
+  Cell* cell = FindCellOf(backend);
+  if (cell == nullptr) return;
+  cell->OnLoadReport(backend, active, m_timers.Now());
+  Flush(*cell);
+}
+
+void OwnerTask::Hold(const BackendId& backend, bool is_held) {
+  Cell* cell = FindCellOf(backend);
   if (cell == nullptr) return;
   cell->Hold(backend, is_held, m_timers.Now());
   Flush(*cell);
--- a/src/owner/owner-task.h
+++ b/src/owner/owner-task.h
@@ -55,6 +55,7 @@
 
   std::vector<OwnedBackend> Owned() const override;
   void Hold(const BackendId& backend, bool is_held) override;
+  void OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active) override;
 
   std::vector<WaitingRow> Waiting() const;
   std::vector<CellBackendRow> Backends() const;
@@ -95,6 +96,8 @@
   bool IsOwner(const CellId& id) const;
   Cell& CellFor(const CellId& id);
   Cell* FindCell(const CellId& id);
+  /// @return the cell of a configured server, if it is kept here
+  Cell* FindCellOf(const BackendId& backend);
   void UpdateOwnership();
   void Drop(std::map<CellId, OwnedCell>::iterator place);
   void Tick();
--- a/src/policy/backend-load.cc
+++ b/src/policy/backend-load.cc
@@ -45,8 +45,13 @@
   return place == m_index.end() ? nullptr : &place->second->second;
 }
 
+std::int64_t BackendLoad::Server::SlotsTaken() const {
+  if (slots_used > 0) return slots_used + surplus;
+  return std::min(surplus, std::max<std::int64_t>(config.slots - 1, 0));
+}
+
 double BackendLoad::Server::Load() const {
-  const double slots = static_cast<double>(slots_used) /
+  const double slots = static_cast<double>(SlotsTaken()) /
                        static_cast<double>(std::max<std::int64_t>(config.slots, 1));
   if (IsService()) return slots;
   const double tokens = static_cast<double>(tokens_used) /
@@ -84,7 +89,7 @@
 bool BackendLoad::HasRoom(const Server& server, const Demand& demand, TimePoint now) const {
   if (!server.MayTakeWork() || server.runs_alone > 0) return false;
   if (server.IsAvoided(demand)) return false;
-  if (server.slots_used >= server.config.slots) return false;
+  if (server.SlotsTaken() >= server.config.slots) return false;
   if (server.backoff.count() > 0 && (now < server.retry_at || server.slots_used > 0)) return false;
   if (demand.is_alone && server.slots_used > 0) return false;
   if (server.IsService()) return true;
@@ -164,10 +169,24 @@
   if (place != m_servers.end()) place->second.is_held = is_held;
 }
 
+void BackendLoad::OnReport(const BackendId& backend, std::optional<std::int64_t> active) {
+  const auto place = m_servers.find(backend);
+  if (place == m_servers.end()) return;
+  Server& server = place->second;
+  // A report is late: it may show own runs that have ended since.
+  const std::int64_t counted = *std::max_element(server.peaks.begin(), server.peaks.end());
+  const std::int64_t surplus = std::max<std::int64_t>(active.value_or(0) - counted, 0);
+  std::rotate(server.peaks.begin(), server.peaks.end() - 1, server.peaks.end());
+  server.peaks.front() = server.slots_used;
+  server.surplus = std::min(surplus, server.last_surplus);
+  server.last_surplus = surplus;
+}
+
 void BackendLoad::Begin(const BackendId& backend, Tokens tokens, bool is_alone) {
   Server& server = m_servers[backend];
   if (server.config.id.IsEmpty()) server.config.id = backend;
   ++server.slots_used;
+  server.peaks.front() = std::max(server.peaks.front(), server.slots_used);
   server.tokens_used += tokens.Value();
   if (is_alone) ++server.runs_alone;
 }
@@ -245,7 +264,7 @@
 
 bool BackendLoad::HasFreeSlot() const {
   return std::any_of(m_servers.begin(), m_servers.end(), [](const auto& row) {
-    return row.second.MayTakeWork() && row.second.slots_used < row.second.config.slots;
+    return row.second.MayTakeWork() && row.second.SlotsTaken() < row.second.config.slots;
   });
 }
 
@@ -256,6 +275,7 @@
                     .is_active = server.IsActive(),
                     .slots = server.config.slots,
                     .slots_used = server.slots_used,
+                    .surplus = server.surplus,
                     .token_capacity = server.config.token_capacity,
                     .tokens_used = server.tokens_used,
                     .prefill_tokens_per_second = server.prefill_speed,
--- a/src/policy/backend-load.h
+++ b/src/policy/backend-load.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <list>
 #include <map>
 #include <optional>
@@ -30,6 +31,7 @@
   bool is_active = false;
   std::int64_t slots = 0;
   std::int64_t slots_used = 0;
+  std::int64_t surplus = 0;  ///< runs of others, by the server's reports
   std::int64_t token_capacity = 0;
   std::int64_t tokens_used = 0;
   double prefill_tokens_per_second = 0;  ///< learned
@@ -70,6 +72,13 @@
   /// Keeps new grants away from a server, whatever its state, or ends that.
   void Hold(const BackendId& backend, bool is_held);
 
+  /// Takes note of a server's own report of its load. What two reports in a row show above the own
+  /// count, at its highest in the last three periods, is taken for work of others and counts as
+  /// used slots until the next report. A server on which nothing is counted keeps one slot, so that
+  /// wrong reports cannot stop grants for good.
+  /// @param active runs reported; nullopt when no report could be had, which ends this count
+  void OnReport(const BackendId& backend, std::optional<std::int64_t> active);
+
   /// Counts a run. Unknown servers are counted too, for the case that they are configured later.
   void Begin(const BackendId& backend, Tokens tokens, bool is_alone);
   /// Ends the count of a run, with the same arguments.
@@ -110,6 +119,10 @@
     std::int64_t slots_used = 0;
     std::int64_t tokens_used = 0;
     std::int64_t runs_alone = 0;
+    /// Highest own counts since the last report and in the periods before.
+    std::array<std::int64_t, 3> peaks{};
+    std::int64_t last_surplus = 0;  ///< of the last report
+    std::int64_t surplus = 0;       ///< runs of others, which two reports in a row have shown
     double prefill_speed = 0;
     double decode_speed = 0;
     TimePoint learned_at;
@@ -119,6 +132,7 @@
     bool IsActive() const { return is_configured && config.state == BackendState::kActive; }
     bool MayTakeWork() const { return IsActive() && !is_held; }
     bool IsService() const { return config.kind == "service"; }
+    std::int64_t SlotsTaken() const;
     double Load() const;
     bool IsAvoided(const Demand& demand) const;
   };
--- a/src/policy/cell.cc
+++ b/src/policy/cell.cc
@@ -362,6 +362,12 @@
   if (!is_held) Schedule(now);
 }
 
+void Cell::OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active,
+                        TimePoint now) {
+  m_load.OnReport(backend, active);
+  Schedule(now);
+}
+
 void Cell::Tick(TimePoint now) {
   RefuseAll(m_queue.ExpireBefore(now), ErrorKind::kDeadlineExceeded);
   if (now - m_floor_sent_at >= kFloorRetry) SendFloorAsk(now);
--- a/src/policy/cell.h
+++ b/src/policy/cell.h
@@ -79,6 +79,8 @@
   void OnMembers(const std::vector<Member>& members, TimePoint now);
   /// Keeps new grants away from a server, or ends that.
   void Hold(const BackendId& backend, bool is_held, TimePoint now);
+  /// Takes note of a server's own report of its load; nullopt when no report could be had.
+  void OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active, TimePoint now);
   /// Expires deadlines and asks for floors again; to be called every 100 ms or so.
   void Tick(TimePoint now);
 
--- a/test/orders-test.cc
+++ b/test/orders-test.cc
@@ -21,6 +21,8 @@
       held.erase(backend);
     }
   }
+  void OnLoadReport(const BackendId& /*backend*/, std::optional<std::int64_t> /*active*/) override {
+  }
 
   std::vector<OwnedBackend> owned;
   std::set<BackendId> held;
