Test what the owner shows of its servers

Cause: the order task relies on the owner's count of runs, on holds and on the time since when a cell is owned, which only fakes had covered.

Ruled out: covering it by the tests of orders, whose fake owner would hide a fault in the real one.

Change: one case in owner-task-test.

--- a/test/owner-task-test.cc
+++ b/test/owner-task-test.cc
@@ -133,6 +133,30 @@
   BOOST_TEST(network.Count<ResyncMessage>(kPeer) == 1);
 }
 
+// Guards against orders for servers of a cell that is owned elsewhere, a server taken for empty
+// that is not, and a hold without effect or one that outlives the ownership.
+BOOST_FIXTURE_TEST_CASE(ControlsTheServersOfOwnCells, Fixture) {
+  Configure();
+  BOOST_TEST(owner.Owned().at(0).running == 0);
+  owner.Hold(BackendId("b"), true);
+  Reserve(kSelf, "x");
+  BOOST_TEST(network.Count<GrantMessage>(kSelf) == 0);
+  owner.Hold(BackendId("b"), false);
+  BOOST_TEST(network.Count<GrantMessage>(kSelf) == 1);
+  BOOST_TEST(owner.Owned().at(0).running == 1);
+  owner.Hold(BackendId("b"), true);
+  const TimePoint since = owner.Owned().at(0).owned_since;
+  network.members.front().info.is_leaving = true;
+  owner.OnMembersChanged();
+  BOOST_TEST(owner.Owned().empty());
+  network.members.front().info.is_leaving = false;
+  timers.Advance(Millis{100});
+  owner.OnMembersChanged();
+  BOOST_TEST((owner.Owned().at(0).owned_since > since));
+  Reserve(kSelf, "y");
+  BOOST_TEST(network.Count<GrantMessage>(kSelf) == 2);
+}
+
 // Guards against suspects and releases that other instances do not learn of.
 BOOST_FIXTURE_TEST_CASE(SpreadsQuarantine, Fixture) {
   Configure();
