--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -15,6 +15,7 @@
 #include "ledger/store-ledger.h"
 #include "operator-task.h"
 #include "orders/order-task.h"
+#include "owner/load-poller.h"
 #include "owner/owner-task.h"
 #include "peer/network.h"
 #include "store/http-store.h"
@@ -107,6 +108,7 @@
         tokens(settings.peer_keys),
         ownership(MakeOwnership(OwnershipOf(settings.policy), settings.instance)),
         owner(network, loop, *ownership, PolicyOf(settings.policy)),
+        load_poller(http, loop, owner),
         engines(http),
         orders(
             OrderContext{store, loop, engines, owner, WriterOf(network.Self()), WallClockMillis}),
@@ -139,6 +141,7 @@
   ResumeTokens tokens;
   std::unique_ptr<Ownership> ownership;
   OwnerTask owner;
+  LoadPoller load_poller;
   HttpEngineClient engines;
   OrderTask orders;
   HomeTask home;
--- a/src/owner/owner-task.h
+++ b/src/owner/owner-task.h
@@ -56,6 +56,7 @@
 
   std::vector<OwnedBackend> Owned() const override;
   void Hold(const BackendId& backend, bool is_held) override;
+  void OnLoadReport(const BackendId& backend, std::optional<std::int64_t> active) override;
 
   std::vector<WaitingRow> Waiting() const;
   std::vector<CellBackendRow> Backends() const;
@@ -96,6 +97,8 @@
   bool IsOwner(const CellId& id) const;
   Cell& CellFor(const CellId& id);
   Cell* FindCell(const CellId& id);
+  /// @return the cell of a configured server, if it is kept here
+  Cell* FindCellOf(const BackendId& backend);
   void UpdateOwnership();
   /// @return true when the capacity that this instance grants has changed
   bool UpdateOwnedPart();
