Keep file descriptors from floods of callers' connections

Cause: callers' connections could take all file descriptors. accept then failed for ever, the loop was woken for it again and again, and the instance could open no connection to the object API, its peers or backend servers. By hand with a limit of 100 descriptors and 150 idle connections: 1.87 s of processor time in 2 s, and store_down.

Ruled out: pausing the listener, which leaves callers waiting in its queue instead of sending them to another instance, and a count of connections, which h2o does not offer.

Change: a connection whose descriptor lies above the process's limit less 256 (of a small limit, less a quarter) is closed at once. The system hands out the lowest free number, so this bounds the callers' share.

Before and after: ConnectionFloodsLeaveDescriptors (limit 128, 256 connections) failed with 0 connections closed and store_down in the time line; now it passes. All 10 cases of http-limits-test pass, as do the 24 tests that start no processes.

Conclusion: an instance's own connections may still exceed what is kept if the limit is too small for the fleet.

--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -2,11 +2,14 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <unordered_set>
 
 #include "h2o.h"
@@ -16,6 +19,18 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+// File descriptors kept for the process's own connections; of a small limit, a quarter.
+constexpr rlim_t kKeptDescriptors = 256;
+constexpr rlim_t kKeptShare = 4;
+
+/// @return the lowest descriptor that is not given to a client. The system hands out the lowest
+/// free number, so a higher one means that at least as many are in use.
+int FirstKeptDescriptor() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return std::numeric_limits<int>::max();
+  const rlim_t first = limit.rlim_cur - std::min(kKeptDescriptors, limit.rlim_cur / kKeptShare);
+  return static_cast<int>(std::min<rlim_t>(first, std::numeric_limits<int>::max()));
+}
 
 std::string ToString(h2o_iovec_t text) { return {text.base, text.len}; }
 
@@ -267,6 +282,7 @@
 
   Loop& loop;
   HttpHandler handler;
+  const int first_kept_descriptor = FirstKeptDescriptor();
   std::string error_content_type;
   std::function<std::string(int)> error_body;
   h2o_globalconf_t config{};
@@ -353,7 +369,11 @@
     if (error != nullptr) return;
     auto* impl = static_cast<Impl*>(listener->data);
     h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (socket != nullptr) h2o_accept(&impl->accept, socket);
+    if (socket == nullptr) return;
+    // Closing at once keeps the queue moving; accept would fail for ever without descriptors, and
+    // the loop would be woken for it again and again.
+    if (h2o_socket_get_fd(socket) >= impl->first_kept_descriptor) return h2o_socket_close(socket);
+    h2o_accept(&impl->accept, socket);
   }
 };
 
--- a/test/http-limits-test.cc
+++ b/test/http-limits-test.cc
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 
@@ -332,6 +334,31 @@
   CheckUnharmed();
 }
 
+// Guards against callers whose connections take the file descriptors that the daemon needs for the
+// object API, its peers and backend servers, and against accepting in a busy loop without any.
+BOOST_AUTO_TEST_CASE(ConnectionFloodsLeaveDescriptors) {
+  const rlim_t descriptors = 128;
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const rlimit lowered{descriptors, limit.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &lowered);
+  Fixture fixture;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  {
+    std::vector<RawCaller> callers;
+    callers.reserve(2 * descriptors);
+    for (rlim_t i = 0; i < 2 * descriptors; ++i) callers.emplace_back(fixture.address);
+    // The instance reads its configuration from the object API every second.
+    fixture.cluster.RunFor(Millis{4'000});
+    std::size_t closed = 0;
+    for (RawCaller& caller : callers) closed += caller.IsClosedWithin(Millis{0}) ? 1 : 0;
+    BOOST_TEST(closed >= descriptors);
+    BOOST_TEST(closed < 2 * descriptors);
+  }
+  fixture.CheckUnharmed();
+  for (const auto& event : fixture.cluster.Timeline()) BOOST_TEST(event.name != "store_down");
+}
+
 // Guards against replies to pipelined requests that are lost or out of order.
 BOOST_FIXTURE_TEST_CASE(PipelinedRequestsAreAnsweredInOrder, Fixture) {
   RawCaller caller(address);
