--- a/test/cluster/cluster.cc
+++ b/test/cluster/cluster.cc
@@ -12,6 +12,8 @@
 constexpr char kPeerKey[] = "a-key-for-tests-only";
 constexpr Millis kTurn{10};
 constexpr Millis kStartLimit{10'000};
+// Longer than the daemon waits for a change to be confirmed and spread (13 s).
+constexpr Millis kCommandLimit{20'000};
 
 std::string BinaryFolder() { return BLUEBELLPASS_BINARY_DIR; }
 
@@ -88,6 +90,9 @@
     if (m_options.has_peer_proxies) {
       instance.peer_proxy = StartProxy(instance.name + "-peer", instance.peer);
     }
+    if (m_options.has_own_store_proxies) {
+      instance.store_proxy = StartProxy(instance.name + "-store", m_store);
+    }
     m_instances.push_back(std::move(instance));
   }
   for (Instance& instance : m_instances) StartDaemon(instance);
@@ -171,7 +176,9 @@
 
 void Cluster::StartDaemon(Instance& instance) {
   const int number = std::stoi(instance.name.substr(1)) - 1;
-  const Address& store = m_store_proxy ? m_store_proxy->address : m_store;
+  const Proxy* store_proxy =
+      instance.store_proxy ? instance.store_proxy.get() : m_store_proxy.get();
+  const Address& store = store_proxy != nullptr ? store_proxy->address : m_store;
   const Address& peer = instance.peer_proxy ? instance.peer_proxy->address : instance.peer;
   std::vector<std::string> command = {BinaryFolder() + "/bluebellpass",
                                       "serve",
@@ -316,6 +323,24 @@
   return json::parse(reply->body, nullptr, false);
 }
 
+std::shared_ptr<std::optional<json>> Cluster::StartCommand(int instance, const std::string& text) {
+  HttpCallRequest request;
+  request.address = CallerAddress(instance);
+  request.method = "POST";
+  request.path = "/v1/command";
+  request.body = text;
+  request.idle_timeout = kCommandLimit;
+  auto answer = std::make_shared<std::optional<json>>();
+  m_client.Fetch(std::move(request), [answer](const Result<HttpReply>& reply) {
+    if (IsOk(reply)) {
+      *answer = json::parse(std::get<HttpReply>(reply).body, nullptr, false);
+    } else {
+      *answer = json();
+    }
+  });
+  return answer;
+}
+
 int Cluster::OwnerOf(const std::string& pool) {
   std::string owner;
   for (const TimelineEvent& event : Timeline()) {
@@ -364,6 +389,10 @@
 
 void Cluster::ControlStoreProxy(const json& command) { ControlAt(m_store_proxy->control, command); }
 
+void Cluster::ControlOwnStoreProxy(int instance, const json& command) {
+  ControlAt(m_instances[Index(instance)].store_proxy->control, command);
+}
+
 void Cluster::ControlPeerProxy(int instance, const json& command) {
   ControlAt(m_instances[Index(instance)].peer_proxy->control, command);
 }
@@ -399,6 +428,16 @@
   return all;
 }
 
+std::vector<std::uint64_t> Cluster::StoreVersions(const std::string& key) {
+  std::vector<std::uint64_t> versions;
+  const auto reply = Call(m_store, "GET", "/control/log");
+  if (!reply) return versions;
+  for (const json& row : json::parse(reply->body, nullptr, false)) {
+    if (row.value("key", "") == key) versions.push_back(row.value("version", std::uint64_t{0}));
+  }
+  return versions;
+}
+
 std::vector<TimelineEvent> Cluster::Timeline() {
   for (Instance& instance : m_instances) {
     while (instance.process.IsRunning()) {
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -31,6 +31,7 @@
   std::vector<std::string> daemon_flags;
   bool has_backend_proxies = false;
   bool has_store_proxy = false;
+  bool has_own_store_proxies = false;  ///< a proxy to the object API for each instance
   bool has_peer_proxies = false;
   nlohmann::json extra_config = nlohmann::json::object();  ///< merged over the default one
 };
@@ -85,8 +86,13 @@
                                 const std::string& path, const std::string& body = "",
                                 Millis limit = Millis{5'000});
   nlohmann::json Command(int instance, const std::string& text);
+  /// Sends an operator's command without waiting for it.
+  /// @return set once the command has ended; null when there was no answer
+  std::shared_ptr<std::optional<nlohmann::json>> StartCommand(int instance,
+                                                              const std::string& text);
 
   // Instances.
+  int InstanceCount() const { return static_cast<int>(m_instances.size()); }
   const std::string& InstanceName(int instance) const { return m_instances[Index(instance)].name; }
   Address CallerAddress(int instance) const { return m_instances[Index(instance)].address; }
   Process& Daemon(int instance) { return m_instances[Index(instance)].process; }
@@ -103,6 +109,8 @@
   void ControlBackend(const std::string& name, const nlohmann::json& command);
   void ControlBackendProxy(const std::string& name, const nlohmann::json& command);
   void ControlStoreProxy(const nlohmann::json& command);
+  /// @param instance whose own proxy to the object API is meant
+  void ControlOwnStoreProxy(int instance, const nlohmann::json& command);
   void ControlPeerProxy(int instance, const nlohmann::json& command);
   std::vector<std::string> BackendNames(const std::string& pool) const;
 
@@ -113,6 +121,9 @@
   std::vector<TimelineEvent> Timeline();
   /// @return true when an instance has logged the event for the request
   bool HasEvent(const std::string& name, const std::string& request);
+  /// @return the versions of an object in the order of its writes, as the object API has logged
+  /// them
+  std::vector<std::uint64_t> StoreVersions(const std::string& key);
   const std::string& LogFolder() const { return m_log_folder; }
 
  private:
@@ -126,6 +137,7 @@
     Address address;
     Address peer;
     std::unique_ptr<Proxy> peer_proxy;
+    std::unique_ptr<Proxy> store_proxy;
     Process process;
     std::uint64_t last_event = 0;
   };
