Prove that accepted configurations spread and never revert

Invariant 8 had no test with real processes.

The scenarios compare the versions in the object API's log with the events config_applied of all instances: in effect everywhere within 4 s with the object API up, slow, with slow reads, down right after the acceptance, and without reads at all (spread over links between instances only); no older version after a newer one, also across restarts of every instance in turn during an outage; instances started in the outage get the configuration from peers and serve. Two operators at once, a lost answer, a lost answer followed by an outage, and a change during an outage check what the operators are told against the log.

Seen failing with scratch changes: - older versions applied: with slow reads "i2 applied version 6 after 10" (and two more).

--- a/test/cluster/scenarios.cc
+++ b/test/cluster/scenarios.cc
@@ -21,6 +21,7 @@
   static const std::vector<Scenario> scenarios = [] {
     std::vector<Scenario> all;
     Append(all, DrainScenarios());
+    Append(all, ConfigScenarios());
     return all;
   }();
   return scenarios;
--- a/test/cluster/scenarios.h
+++ b/test/cluster/scenarios.h
@@ -22,6 +22,7 @@
 const std::vector<Scenario>& Scenarios();
 
 std::vector<Scenario> DrainScenarios();
+std::vector<Scenario> ConfigScenarios();
 
 /// A request of a steady load.
 struct SentRequest {
