Prove the planned stop under load and the rolling restart

Invariant 7 was covered by the fault matrix for one request at a time.

One instance gets SIGTERM under a load of engine requests and bookings through all three: exit code 0 within the stop timeout plus 2 s, each caller of the instance is answered as completed or not_run with error stopping, nothing refused has run, and no id sent later than 100 ms after the signal runs, also not through another instance. With a queue that is longer than the stop timeout the rest of it is refused as stopping. In the rolling restart all requests complete, each booking once, with callers that go to the next instance.

Connections that the system resets because they were not accepted when the process ended are allowed within 200 ms of the exit; every run of the stopped instance must belong to an id that a caller has been told, so these have not run.

--- a/test/cluster/scenarios.cc
+++ b/test/cluster/scenarios.cc
@@ -22,6 +22,7 @@
     std::vector<Scenario> all;
     Append(all, DrainScenarios());
     Append(all, ConfigScenarios());
+    Append(all, StopScenarios());
     return all;
   }();
   return scenarios;
--- a/test/cluster/scenarios.h
+++ b/test/cluster/scenarios.h
@@ -23,6 +23,7 @@
 
 std::vector<Scenario> DrainScenarios();
 std::vector<Scenario> ConfigScenarios();
+std::vector<Scenario> StopScenarios();
 
 /// A request of a steady load.
 struct SentRequest {
