Prove the order of shedding from the merged time line

Invariant 2 was covered by a model of the floor only, not across processes.

Three scenarios flood a cell with queue bounds of 4 KiB per tier through three instances whose links have 300 ms of delay, first with the lowest tier, then with a burst and a flood of the highest; with a link cut for 2 s; and with work of the middle tier. Each requires that both tiers were refused.

--- a/test/cluster/scenarios.cc
+++ b/test/cluster/scenarios.cc
@@ -23,6 +23,7 @@
     Append(all, DrainScenarios());
     Append(all, ConfigScenarios());
     Append(all, StopScenarios());
+    Append(all, ShedScenarios());
     return all;
   }();
   return scenarios;
--- a/test/cluster/scenarios.h
+++ b/test/cluster/scenarios.h
@@ -24,6 +24,7 @@
 std::vector<Scenario> DrainScenarios();
 std::vector<Scenario> ConfigScenarios();
 std::vector<Scenario> StopScenarios();
+std::vector<Scenario> ShedScenarios();
 
 /// A request of a steady load.
 struct SentRequest {
