Prove that one request crashes at most two engines

The bound was covered by unit tests of the suspects only.

A caller sends a request that makes each engine exit ten times under new ids through three instances, beside a steady load on four engines; engines that die are started anew, as the platform does. The witness is the exit of the engine processes. Exactly two die, the caller is told quarantined from then on, other requests complete or end as unknown because their engine died (at least 9 of 10 complete), and after `release FINGERPRINT` the request runs once more, through another instance than the operator's.

--- a/test/cluster/scenarios.cc
+++ b/test/cluster/scenarios.cc
@@ -24,6 +24,7 @@
     Append(all, ConfigScenarios());
     Append(all, StopScenarios());
     Append(all, ShedScenarios());
+    Append(all, CrashScenarios());
     return all;
   }();
   return scenarios;
--- a/test/cluster/scenarios.h
+++ b/test/cluster/scenarios.h
@@ -25,6 +25,7 @@
 std::vector<Scenario> ConfigScenarios();
 std::vector<Scenario> StopScenarios();
 std::vector<Scenario> ShedScenarios();
+std::vector<Scenario> CrashScenarios();
 
 /// A request of a steady load.
 struct SentRequest {
