Prove that silent connections are replaced within 5 s

The fault matrix checks the answers after a silence, but not when the stream is resumed or the link is replaced.

All open connections to the engines go silent for good while new ones work: each of six streams is resumed within 5 s (event stream_resumed), its answer is whole and it ran once. All links between instances go silent: each end closes its link and has a new one within 5 s (link_down, link_up), and requests that cross each link are answered.

--- a/test/cluster/scenarios.cc
+++ b/test/cluster/scenarios.cc
@@ -25,6 +25,7 @@
     Append(all, StopScenarios());
     Append(all, ShedScenarios());
     Append(all, CrashScenarios());
+    Append(all, SilenceScenarios());
     return all;
   }();
   return scenarios;
--- a/test/cluster/scenarios.h
+++ b/test/cluster/scenarios.h
@@ -26,6 +26,7 @@
 std::vector<Scenario> StopScenarios();
 std::vector<Scenario> ShedScenarios();
 std::vector<Scenario> CrashScenarios();
+std::vector<Scenario> SilenceScenarios();
 
 /// A request of a steady load.
 struct SentRequest {
