Show that a floor not yet promised by all refuses middle tiers

A real fault, found while the shed scenarios were built: an instance that promises a shed floor refuses at once all that it holds and receives below it, middle tiers included. Other instances may not have promised yet and may still dispatch lowest-tier work for which a grant is on its way, so a middle tier is refused while lower work is kept (invariant 2). The owner's own queue is not affected: it refuses middle tiers only once all have promised.

A correction needs a message: the instances would have to hold middle-tier work until the owner tells them that all have promised.

--- a/test/cluster/scenarios-main.cc
+++ b/test/cluster/scenarios-main.cc
@@ -1,6 +1,8 @@
 #include <CLI/CLI.hpp>
 #include <exception>
+#include <fstream>
 #include <iostream>
+#include <set>
 
 #include "scenarios.h"
 
@@ -13,9 +15,21 @@
   int shard = 0;
   int shards = 1;
   std::uint32_t seed = 1;
-  std::string only;  ///< only scenarios with this text in their name
+  std::string only;       ///< only scenarios with this text in their name
+  std::string known_red;  ///< list of scenarios to pass over; empty for none
 };
 
+/// @return the scenarios that a list of known failures names, in lines "test: scenarios, NAME"
+std::set<std::string> ReadKnownRed(const std::string& path) {
+  const std::string mark = "test: scenarios, ";
+  std::set<std::string> names;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(mark)) names.insert(line.substr(mark.size()));
+  }
+  return names;
+}
+
 bool RunOne(const Scenario& scenario, std::uint32_t seed) {
   std::vector<std::string> violations;
   try {
@@ -35,13 +49,19 @@
   app.add_option("--shards", options.shards, "number of parts");
   app.add_option("--seed", options.seed, "seed of random choices");
   app.add_option("--only", options.only, "only scenarios with this text in their name");
+  app.add_option("--known-red", options.known_red, "pass over the scenarios that this file lists");
   CLI11_PARSE(app, argc, argv);
+  const std::set<std::string> known_red = ReadKnownRed(options.known_red);
   int passed = 0;
   int failed = 0;
   int number = 0;
   for (const Scenario& scenario : Scenarios()) {
     if (scenario.name.find(options.only) == std::string::npos) continue;
     if (number++ % options.shards != options.shard) continue;
+    if (known_red.contains(scenario.name)) {
+      std::cout << "known red, passed over: " << scenario.name << std::endl;
+      continue;
+    }
     (RunOne(scenario, options.seed) ? passed : failed)++;
   }
   std::cout << passed << " passed, " << failed << " failed" << std::endl;
--- a/test/cluster/scenarios-shed.cc
+++ b/test/cluster/scenarios-shed.cc
@@ -19,6 +19,8 @@
 constexpr Millis kFloodTime{2'500};
 constexpr Millis kCutTime{2'000};
 constexpr Millis kFinishLimit{12'000};
+constexpr int kMiddle = 6;
+constexpr Millis kFloorAsked{40};
 constexpr int kBurst = 120;
 constexpr int kCut = 1;
 
@@ -106,6 +108,31 @@
   return violations;
 }
 
+/// The highest tier overflows at the owner while grants of the lowest are on their way. Requests of
+/// the middle tier then come before the other instances have promised the floor.
+Violations RunMiddleTier() {
+  Cluster cluster(ShedOptions(0.1));
+  for (int i = 0; i < cluster.InstanceCount(); ++i) {
+    cluster.ControlPeerProxy(i, {{"mode", "pass"}, {"delay_ms", 300}});
+  }
+  SteadyLoad lowest(cluster, kFloodPeriod, FloodOf("batch", "batch"));
+  lowest.RunFor(kFloodTime);
+  const auto burst = SendBurst(cluster);
+  cluster.RunFor(kFloorAsked);
+  SteadyLoad middle(cluster, Millis{1}, FloodOf("normal", "normal"));
+  middle.RunUntil([&] { return middle.Sent().size() >= kMiddle; }, Millis{1'000});
+  Violations violations;
+  if (!lowest.Finish(kFinishLimit) || !middle.Finish(kFinishLimit)) {
+    violations.push_back("a caller got no answer");
+  }
+  const std::vector<TimelineEvent> events = cluster.Timeline();
+  if (CountRefused(events, "normal") == 0) violations.push_back("nothing was refused of normal");
+  const Violations found = CheckSheds(events, {{"urgent", 0}, {"normal", 1}, {"batch", 2}});
+  violations.insert(violations.end(), found.begin(), found.end());
+  if (!violations.empty()) violations.push_back("logs in " + cluster.LogFolder());
+  return violations;
+}
+
 }  // namespace
 
 std::vector<Scenario> ShedScenarios() {
@@ -113,6 +140,7 @@
   return {
       {"floods, links delayed", [](Seed) { return RunFlood(false, "batch", 0.1); }},
       {"floods, link cut for a while", [](Seed) { return RunFlood(true, "batch", 0.1); }},
+      {"middle tier below a floor not yet promised by all", [](Seed) { return RunMiddleTier(); }},
       {"floods, with work of the middle tier", [](Seed) { return RunFlood(false, "normal", 0.4); }},
   };
 }
