Raise shed floors one tier at a time

Cause: an instance that promised a floor shed the middle tiers at once, while another one that had not been asked yet still kept and dispatched lowest-tier work (found by the scenario 'middle tier below a floor not yet promised by all'). Ruled out: a further message that lets homes release held middle-tier work; the owner already knows when all have promised. Change: the owner asks for the floor above the lowest tier first and for the next one only when the last is held; promises last 5 s so that each step outlasts the next one and a message on a dying link.

--- a/src/policy/cell.cc
+++ b/src/policy/cell.cc
@@ -148,15 +148,23 @@
   // still keep work below them.
   const auto above_lowest = std::next(m_bounds.rbegin());
   RefuseAll(m_queue.TakeBelow(above_lowest->first), ErrorKind::kOverloaded);
-  if (!m_floor.MayShed(rank, now)) {
-    const std::optional<TierRank> asked = m_floor.Asked(now);
-    if (!asked.has_value() || *asked > rank) AskFloor(rank, now);
-    return;
-  }
+  if (!m_floor.MayShed(rank, now)) return AskNextFloor(now);
   RefuseAll(m_queue.TakeBelow(rank), ErrorKind::kOverloaded);
   ShedTier(rank);
 }
 
+void Cell::AskNextFloor(TimePoint now) {
+  // An instance sheds all below a floor as soon as it promises it. A middle tier must not be shed
+  // before all instances have given up the tiers below, so floors rise one tier at a time.
+  const std::optional<TierRank> held = m_floor.Held(now);
+  if (!held.has_value()) {
+    if (!m_floor.Asked(now).has_value()) AskFloor(std::next(m_bounds.rbegin())->first, now);
+    return;
+  }
+  const auto place = m_bounds.lower_bound(*held);
+  if (place != m_bounds.begin()) AskFloor(std::prev(place)->first, now);
+}
+
 void Cell::AskFloor(TierRank rank, TimePoint now) {
   m_floor.Ask(m_next_number++, rank, m_members, now);
   m_queue.SetFloor(rank);
@@ -182,7 +190,7 @@
 
 void Cell::OnMembers(const std::vector<Member>& members, TimePoint now) {
   m_members = MembersToAsk(members);
-  m_floor.OnMembers(m_members);
+  if (m_floor.OnMembers(m_members)) m_floor.Drop();
   SendFloorAsk(now);
   HandleOverflow(now);
 }
@@ -216,6 +224,7 @@
 void Cell::OnHomeGone(const InstanceId& home, TimePoint now) {
   DropHome(home);
   m_floor.OnLinkDown(home);
+  m_floor.Drop();
   Schedule(now);
 }
 
--- a/src/policy/cell.h
+++ b/src/policy/cell.h
@@ -127,6 +127,7 @@
   void HandleOverflow(TimePoint now);
   bool IsOver(TierRank rank) const;
   void ShedTier(TierRank rank);
+  void AskNextFloor(TimePoint now);
   void AskFloor(TierRank rank, TimePoint now);
   void SendFloorAsk(TimePoint now);
 
--- a/src/policy/shed-floor.cc
+++ b/src/policy/shed-floor.cc
@@ -1,5 +1,7 @@
 #include "policy/shed-floor.h"
 
+#include <algorithm>
+
 namespace bluebellpass {
 
 FloorMembers MembersToAsk(const std::vector<Member>& members) {
@@ -25,12 +27,17 @@
   return Held(now).has_value();
 }
 
-void ShedFloor::OnMembers(const FloorMembers& members) {
+bool ShedFloor::OnMembers(const FloorMembers& members) {
+  const bool has_new = std::any_of(members.begin(), members.end(), [&](const auto& member) {
+    const auto known = m_members.find(member.first);
+    return known == m_members.end() || known->second != member.second;
+  });
   for (const auto& [id, incarnation] : m_members) {
     const auto place = members.find(id);
     if (place == members.end() || place->second != incarnation) m_acknowledged.erase(id);
   }
   m_members = members;
+  return has_new;
 }
 
 std::optional<TierRank> ShedFloor::Asked(TimePoint now) const {
--- a/src/policy/shed-floor.h
+++ b/src/policy/shed-floor.h
@@ -9,8 +9,11 @@
 
 namespace bluebellpass {
 
-/// For how long an instance that acknowledges admits nothing below the floor, from receipt.
-constexpr Millis kFloorHold{2000};
+/// For how long an instance that acknowledges admits nothing below the floor, from receipt. Floors
+/// are asked for from the lowest tier upwards, and the promise of one step must outlast the next:
+/// 1.5 s until the step is held, 1.5 s for the next one, and 2 s for a message on a link that is
+/// about to be closed as silent.
+constexpr Millis kFloorHold{5000};
 /// For how long the owner relies on it, from asking. The difference covers clocks that run at
 /// different rates; receipt is never before asking.
 constexpr Millis kFloorReliedOn{1500};
@@ -35,11 +38,15 @@
 
   /// Takes note of the members now known. One that has become known, or was restarted, must
   /// acknowledge as well; one that is gone need not.
-  void OnMembers(const FloorMembers& members);
+  /// @return true when there is one that has not promised an earlier step either
+  bool OnMembers(const FloorMembers& members);
 
   /// The link to an instance broke. It may have been restarted, so its promise counts no longer.
   void OnLinkDown(const InstanceId& instance) { m_acknowledged.erase(instance); }
 
+  /// Ends the round, so that the next one begins with the lowest tier.
+  void Drop() { m_round = 0; }
+
   /// @return true when nothing below the tier is kept undispatched anywhere
   bool MayShed(TierRank tier, TimePoint now) const;
 
--- a/test/cell-test.cc
+++ b/test/cell-test.cc
@@ -140,6 +140,27 @@
   BOOST_TEST((refusals.at("waits") == ErrorKind::kDeadlineExceeded));
 }
 
+// Guards against a middle tier that is shed while an instance that has not promised the floor yet
+// still keeps work of a lower one.
+BOOST_FIXTURE_TEST_CASE(FloorsRiseOneTierAtATime, Fixture) {
+  ClusterConfig config = Config({});
+  config.tiers.insert(config.tiers.begin() + 1, {.name = TierName("middle"), .rank = TierRank(1)});
+  config.tiers.back().rank = TierRank(2);
+  cell.OnConfig(config, At(0));
+  for (const char* id : {"a", "b", "c"}) Reserve(Work(id));
+  BOOST_REQUIRE(asks.size() == 1U);
+  BOOST_TEST((asks[0].message.rank == TierRank(1)));
+  Ack(kHome, 10);
+  BOOST_TEST(asks.size() == 1U);
+  Ack(kOther, 20);
+  BOOST_REQUIRE(asks.size() == 2U);
+  BOOST_TEST((asks[1].message.rank == TierRank(0)));
+  BOOST_TEST(refusals.empty());
+  Ack(kHome, 30);
+  Ack(kOther, 40);
+  BOOST_TEST(refusals.size() == 1U);
+}
+
 // Guards against a higher tier that is shed while lower work is kept in the cell or elsewhere.
 BOOST_FIXTURE_TEST_CASE(FloorBeforeShedding, Fixture) {
   cell.OnConfig(Config({}), At(0));
