Return memory after a configuration is applied

Parsing a configuration builds JSON many times the document's size. The C library kept that memory, so the resident size stayed near the peak. Parsing without an intermediate tree was ruled out for now: the reader of fields needs it to name the path of a fault.

malloc_trim is called after documents of 64 KB or more.

--- a/src/config/config-limits.h
+++ b/src/config/config-limits.h
@@ -29,7 +29,8 @@
 inline constexpr Millis kSpreadLimit{3'000};   ///< longest wait for the members to report a change
 
 inline constexpr std::ptrdiff_t kPollersPerDataCentre = 2;
-inline constexpr std::size_t kSmallFleet = 16;  ///< up to here each instance sends to all
+inline constexpr std::size_t kSmallFleet = 16;         ///< up to here each instance sends to all
+inline constexpr std::size_t kTrimBytes = 64U << 10U;  ///< memory is returned after larger ones
 inline constexpr std::size_t kMaxDocumentBytes = 1U << 20U;  ///< longest value in the object API
 
 }  // namespace bluebellpass::detail
--- a/src/config/config-task.cc
+++ b/src/config/config-task.cc
@@ -1,5 +1,7 @@
 #include "config/config-task.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -119,6 +121,8 @@
   Spread(source);
   // Indices, because a listener may add another one.
   for (std::size_t i = 0; i < m_listeners.size(); ++i) m_listeners[i]->OnConfigApplied(m_current);
+  // The parsed JSON takes many times the document's size; the C library would keep it for reuse.
+  if (document.size() >= detail::kTrimBytes) malloc_trim(0);
 }
 
 void ConfigTask::Spread(Source source) {
