--- a/src/front/operator-task.h
+++ b/src/front/operator-task.h
@@ -48,7 +48,7 @@
   void SetOrderView(OrderView view) { m_order_view = std::move(view); }
 
   void OnPeerMessage(const InstanceId& from, const PeerMessage& message) override;
-  void OnLinkUp(const InstanceId& /*peer*/, Incarnation /*incarnation*/) override {}
+  void OnLinkUp(const InstanceId& peer, Incarnation incarnation) override;
   void OnLinkDown(const InstanceId& peer) override;
   void OnMembersChanged() override {}
   void OnPeerStatus(const InstanceId& /*peer*/, const PeerStatus& /*status*/) override {}
--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -139,9 +139,10 @@
 void OwnerTask::OnConfigApplied(const VersionedConfig& config) {
   m_config = config.config;
   UpdateOwnedPart();
+  m_organisations = ShareOrganisations(config.config);
   UpdateOwnership();
   for (auto& [id, owned] : m_cells) {
-    owned.cell->OnConfig(*m_owned_part, m_timers.Now());
+    owned.cell->OnConfig(*m_owned_part, m_organisations, m_timers.Now());
     Flush(*owned.cell);
   }
   for (const auto& [from, message] : std::exchange(m_early, {})) OnPeerMessage(from, message);
@@ -164,7 +165,9 @@
   owned.cell = std::make_unique<Cell>(id, m_policy, first_number, m_suspects);
   owned.SetOwned(IsOwner(id), m_timers.Now());
   owned.cell->OnMembers(m_network.Members(), m_timers.Now());
-  if (m_owned_part.has_value()) owned.cell->OnConfig(*m_owned_part, m_timers.Now());
+  if (m_owned_part.has_value()) {
+    owned.cell->OnConfig(*m_owned_part, m_organisations, m_timers.Now());
+  }
   LogEvent(EventId::kOwnerTaken, {{"pool", id.pool.Text()}, {"region", id.region.Text()}});
   return *owned.cell;
 }
