Give slow servers the latest deadline when the earliest do not fit

Cause: in a flood the requests at the front have little time left, so that only the fastest servers could run them.

Change: when the first items of an organisation do not fit, its item with the latest deadline is tried before the next organisation.

--- a/src/policy/cell-queue.cc
+++ b/src/policy/cell-queue.cc
@@ -145,12 +145,17 @@
 const WaitingItem* CellQueue::NextOfTier(const Tier& tier, const Fits& fits) {
   int tried = 0;
   for (const auto& [counter, organisation] : tier.by_counter) {
+    const auto& items = tier.queues.at(organisation).items;
     int tried_here = 0;
-    for (const auto& [order, item] : tier.queues.at(organisation).items) {
+    for (const auto& [order, item] : items) {
       if (fits(*item)) return item;
       if (++tried == kMaxTriedItems) return nullptr;
       if (++tried_here == kMaxTriedOfOrganisation) break;
     }
+    // The earliest deadlines may need faster servers than those with room.
+    if (items.size() > kMaxTriedOfOrganisation && fits(*items.rbegin()->second)) {
+      return items.rbegin()->second;
+    }
   }
   return nullptr;
 }
--- a/test/cell-queue-test.cc
+++ b/test/cell-queue-test.cc
@@ -42,6 +42,18 @@
   BOOST_TEST(GrantNext(queue, At(0)).empty());
 }
 
+// Guards against a server that idles, or runs a lower tier, because the earliest deadlines in a
+// long queue need a faster one.
+BOOST_AUTO_TEST_CASE(LatestDeadlineWhenTheEarliestDoNotFit) {
+  CellQueue queue;
+  for (int i = 1; i <= 50; ++i) queue.Add(Item(std::to_string(i), kUrgent, "o", 1000 * i));
+  queue.Add(Item("batch", kBatch, "o", 60000));
+  const auto fits = [](const WaitingItem& item) { return item.deadline >= At(30000); };
+  const WaitingItem* item = queue.Next(At(0), fits);
+  BOOST_REQUIRE(item != nullptr);
+  BOOST_TEST(item->reservation.id.Text() == "50");
+}
+
 // Guards against starvation of a lower tier by an urgent flood, and a share that a floor keeps up.
 BOOST_AUTO_TEST_CASE(MinimumShare) {
   CellQueue queue;
