Count only contested grants against a tier's minimum share

Cause: the window of 10 s over which minimum shares hold counted all grants. Dossiers that had the servers to themselves before a flood of questions were in debt when it began and got nothing for its whole length.

Change: a grant that no other tier waited for does not enter the window.

Ruled out: a credit counter per tier in place of the window. It needs more change for the same effect and has not been tried.

--- a/bench/measure.cc
+++ b/bench/measure.cc
@@ -12,6 +12,8 @@
 
 // The stand-in caches prompts in blocks; a part of a block is never found.
 constexpr std::int64_t kBlockTokens = 16;
+// Answers that end sooner after the flood begins were granted before it.
+constexpr double kSettleSeconds = 4;
 constexpr std::int64_t kMillisPerSecond = 1000;
 
 const RequestKind* FindKind(const LoadResult& result) {
@@ -78,15 +80,27 @@
     first[kind->tier].push_back(static_cast<double>(result.first_byte_ms));
     whole[kind->tier].push_back(static_cast<double>(result.done_ms - result.due_ms));
   }
-  std::int64_t tokens = 0;
-  for (const auto& [name, tier] : figures.tiers) tokens += tier.on_time_tokens;
   for (auto& [name, tier] : figures.tiers) {
     tier.first_token = PercentilesOf(first[name]);
     tier.latency = PercentilesOf(whole[name]);
-    tier.token_share = Ratio(static_cast<double>(tier.on_time_tokens), static_cast<double>(tokens));
   }
 }
 
+/// Shares of the answers that ended in time in the span; what ends after it no longer competes with
+/// the flood.
+void MeasureTokenShares(const RunRecord& record, const Span& span, RunFigures& figures) {
+  std::map<std::string, double> tokens;
+  double whole = 0;
+  for (const LoadResult& result : record.results) {
+    const RequestKind* kind = FindKind(result);
+    const bool is_here = result.done_ms >= span.from_ms && result.done_ms < span.to_ms;
+    if (kind == nullptr || !result.is_on_time || !is_here) continue;
+    tokens[kind->tier] += static_cast<double>(TokensOf(*kind));
+    whole += static_cast<double>(TokensOf(*kind));
+  }
+  for (auto& [name, tier] : figures.tiers) tier.token_share = Ratio(tokens[name], whole);
+}
+
 void MeasureReference(const RunRecord& record, const Span& span, RunFigures& figures) {
   std::map<std::string, TierFigures> before;
   for (const LoadResult& result : record.results) {
@@ -262,6 +276,8 @@
   RunFigures figures;
   const Span measured = SpanOf(record, workload.measured_from_s, workload.end_s);
   MeasureTiers(record, measured, figures);
+  MeasureTokenShares(
+      record, SpanOf(record, workload.measured_from_s + kSettleSeconds, workload.end_s), figures);
   MeasureReference(record, SpanOf(record, workload.reference_from_s, workload.measured_from_s),
                    figures);
   MeasureBounds(deployment, workload, scale, figures);
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -33,7 +33,7 @@
   std::int64_t on_time_tokens = 0;
   double reference = 0;    ///< on time as a share of what was asked, before the flood or fault
   double bound = 0;        ///< work that engines could do for the tier, in share of what was asked
-  double token_share = 0;  ///< of the tokens of all requests on time
+  double token_share = 0;  ///< of the tokens of answers on time, by the time of their end
   Percentiles first_token;
   Percentiles latency;
 
--- a/src/policy/cell-queue.cc
+++ b/src/policy/cell-queue.cc
@@ -90,6 +90,9 @@
   tier.by_counter.emplace(queue.counter, organisation);
   if (++tier.grants % kSweepPeriod == 0) ForgetIdle(tier);
 
+  // Work that no other tier had to wait for is no debt to be paid when others come.
+  const bool has_rivals = tier.size < m_items.size();
+  if (!has_rivals) return Remove(id);
   tier.granted += tokens;
   m_granted_total += tokens;
   const bool merges = !m_granted.empty() && m_granted.back().rank == found->rank &&
--- a/test/cell-queue-test.cc
+++ b/test/cell-queue-test.cc
@@ -42,6 +42,18 @@
   BOOST_TEST(GrantNext(queue, At(0)).empty());
 }
 
+// Guards against a lower tier that starves in a flood because it had the servers to itself before.
+BOOST_AUTO_TEST_CASE(NoDebtForUncontestedWork) {
+  CellQueue queue;
+  queue.SetShare(kBatch, 0.2);
+  for (int i = 0; i < 400; ++i) queue.Add(Item("b" + std::to_string(i), kBatch, "o"));
+  for (int i = 0; i < 200; ++i) GrantNext(queue, At(i));
+  for (int i = 0; i < 400; ++i) queue.Add(Item("u" + std::to_string(i), kUrgent, "o"));
+  int batch = 0;
+  for (int i = 0; i < 100; ++i) batch += GrantNext(queue, At(200 + i))[0] == 'b' ? 1 : 0;
+  BOOST_TEST(batch == 20);
+}
+
 // Guards against a server that idles, or runs a lower tier, because the earliest deadlines in a
 // long queue need a faster one.
 BOOST_AUTO_TEST_CASE(LatestDeadlineWhenTheEarliestDoNotFit) {
