--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -115,7 +115,7 @@
   const bool is_part_changed = UpdateOwnedPart();
   for (auto& [id, owned] : m_cells) {
     owned.cell->OnMembers(members, m_timers.Now());
-    if (is_part_changed) owned.cell->OnConfig(*m_owned_part, m_timers.Now());
+    if (is_part_changed) owned.cell->OnConfig(*m_owned_part, m_organisations, m_timers.Now());
     Flush(*owned.cell);
   }
 }
@@ -138,6 +138,8 @@
 
 void OwnerTask::OnConfigApplied(const VersionedConfig& config) {
   m_config = config.config;
+  // The cells share one map of the organisations, which may be many.
+  m_config->organisations.clear();
   UpdateOwnedPart();
   m_organisations = ShareOrganisations(config.config);
   UpdateOwnership();
--- a/src/policy/cell-queue.cc
+++ b/src/policy/cell-queue.cc
@@ -90,6 +90,9 @@
   tier.by_counter.emplace(queue.counter, organisation);
   if (++tier.grants % kSweepPeriod == 0) ForgetIdle(tier);
 
+  // Work that no other tier had to wait for is no debt to be paid when others come.
+  const bool has_rivals = tier.size < m_items.size();
+  if (!has_rivals) return Remove(id);
   tier.granted += tokens;
   m_granted_total += tokens;
   const bool merges = !m_granted.empty() && m_granted.back().rank == found->rank &&
@@ -145,12 +148,17 @@
 const WaitingItem* CellQueue::NextOfTier(const Tier& tier, const Fits& fits) {
   int tried = 0;
   for (const auto& [counter, organisation] : tier.by_counter) {
+    const auto& items = tier.queues.at(organisation).items;
     int tried_here = 0;
-    for (const auto& [order, item] : tier.queues.at(organisation).items) {
+    for (const auto& [order, item] : items) {
       if (fits(*item)) return item;
       if (++tried == kMaxTriedItems) return nullptr;
       if (++tried_here == kMaxTriedOfOrganisation) break;
     }
+    // The earliest deadlines may need faster servers than those with room.
+    if (items.size() > kMaxTriedOfOrganisation && fits(*items.rbegin()->second)) {
+      return items.rbegin()->second;
+    }
   }
   return nullptr;
 }
