Keep frames between instances below their limit

Cause: a sync of a large backlog, an operator's reply of many rows and a forwarded body above 2 MiB did not fit a frame; Send refused them, so the backlog was never reserved, the instance counted as missing, and the outcome became unknown. Ruled out: larger frames, which hold up heartbeats on the same link. Change: a sync carries at most 2,000 reservations and the rest follows one by one; an instance's reply has at most 4,000 rows; bodies have at most 2,000,000 bytes (1 MiB by default). Before: 2,500 waiting requests, none reserved after a new link (by the codec's limit; the new case needs the split). After: 2,000 in the sync and 500 after it.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -16,7 +16,9 @@
 constexpr std::string_view kClientVariable = "BLUEBELLPASS_ENTRY";  // Read by operators' commands.
 constexpr std::size_t kMinKeyLength = 16;
 constexpr std::int64_t kMinBodyBytes = 1024;
-constexpr std::int64_t kMaxBodyBytes = 16LL << 20U;
+// A request that is passed on to its home must fit a frame of 2 MiB between instances.
+constexpr std::int64_t kMaxBodyBytes = 2'000'000;
+constexpr std::int64_t kDefaultBodyBytes = 1LL << 20U;
 
 constexpr std::string_view kNameText = "1 to 64 letters, digits, '-' or '_'";
 constexpr std::string_view kListenText = "an IPv4 address and a port, as in 10.0.0.1:8080";
@@ -37,8 +39,7 @@
                 "shared key of the instances; the first signs, all are accepted", true, true},
     SettingInfo{"--policy", "fair", "fair, round-robin or static", "how work is granted"},
     SettingInfo{"--log-level", "info", "debug, info, warning or error", "lowest severity logged"},
-    SettingInfo{"--max-body-bytes", "4194304", "1024 to 16777216",
-                "longest request body, in bytes"},
+    SettingInfo{"--max-body-bytes", "1048576", "1024 to 2000000", "longest request body, in bytes"},
     SettingInfo{"--stop-timeout-s", "30", "1 to 600", "longest graceful shutdown, in seconds"},
     SettingInfo{"--max-answer-memory-mb", "256", "16 to 16384",
                 "memory for answers kept for callers, in MiB"},
@@ -206,7 +207,7 @@
   settings.policy = static_cast<PolicyKind>(values.Choice("--policy", kPolicies, 0));
   settings.log_level = static_cast<Severity>(values.Choice("--log-level", kLevels, 1));
   settings.max_body_bytes = static_cast<std::size_t>(
-      values.Integer("--max-body-bytes", 4LL << 20U, kMinBodyBytes, kMaxBodyBytes));
+      values.Integer("--max-body-bytes", kDefaultBodyBytes, kMinBodyBytes, kMaxBodyBytes));
   settings.stop_timeout = std::chrono::seconds(values.Integer("--stop-timeout-s", 30, 1, 600));
   settings.max_answer_memory_bytes =
       static_cast<std::size_t>(values.Integer("--max-answer-memory-mb", 256, 16, 16384)) << 20U;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -35,7 +35,7 @@
   std::vector<std::string> peer_keys;  ///< secret; the first signs, all are accepted
   PolicyKind policy = PolicyKind::kFair;
   Severity log_level = Severity::kInfo;
-  std::size_t max_body_bytes = 4U << 20U;
+  std::size_t max_body_bytes = 1U << 20U;
   Millis stop_timeout{30'000};
   std::size_t max_answer_memory_bytes = 256U << 20U;
   bool is_check = false;  ///< validate, print and exit
--- a/src/front/operator-task.cc
+++ b/src/front/operator-task.cc
@@ -12,6 +12,8 @@
 
 // An operator waits no longer than this for instances that do not answer.
 constexpr Millis kQueryLimit{1'500};
+// Of one instance; a reply must fit a frame of 2 MiB.
+constexpr std::size_t kMaxRows = 4'000;
 
 std::string Dump(const ordered_json& object) {
   return object.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n";
@@ -243,6 +245,7 @@
   }
   ordered_json kept = ordered_json::array();
   for (const auto& row : rows) {
+    if (kept.size() == kMaxRows) break;
     if (Matches(row, command.where)) kept.push_back(row);
   }
   return kept;
--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -14,6 +14,8 @@
 // in a tight loop.
 constexpr Millis kReserveAgainDelay{50};
 constexpr Millis kResyncDelay{300};
+// A frame has at most 2 MiB, and a reservation with the longest names has under 700 bytes.
+constexpr std::size_t kMaxSyncedReservations = 2'000;
 // Plain services answer within half a minute or not at all.
 constexpr Millis kLongestReply{30'000};
 constexpr Millis kReplyGrace{1'000};
@@ -96,16 +98,22 @@
   if (!owner) return;
   SyncMessage sync;
   sync.cell = cell;
+  std::vector<Reservation> rest;
   for (const auto& [id, request] : m_requests) {
     if (request->phase == Phase::kWaiting && CellOf(*request) == cell) {
       request->reserved_cell = cell;
-      sync.waiting.push_back(ReservationOf(*request));
+      auto& list = sync.waiting.size() < kMaxSyncedReservations ? sync.waiting : rest;
+      list.push_back(ReservationOf(*request));
     } else if (request->phase == Phase::kDispatched && request->grant.cell == cell) {
       sync.running.push_back({request->id, request->grant.grant, request->grant.backend,
                               request->granted_tokens, request->submission.content});
     }
   }
-  if (m_context.network.Send(*owner, sync)) {
+  bool is_sent = m_context.network.Send(*owner, sync);
+  for (const Reservation& reservation : rest) {
+    is_sent = is_sent && m_context.network.Send(*owner, ReserveMessage{reservation});
+  }
+  if (is_sent) {
     m_owners[cell] = *owner;
   } else {
     // Tried again when the link is up.
--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -415,6 +415,20 @@
   BOOST_TEST(sync.running.size() == 1U);
 }
 
+// Guards against a backlog that is too large for one frame and is then never reserved.
+BOOST_FIXTURE_TEST_CASE(LargeBacklogIsSyncedInParts, Fixture) {
+  constexpr int kBacklog = 2'500;
+  network.is_linked = false;
+  for (int i = 0; i < kBacklog; ++i) Submit(Id("n" + std::to_string(i)));
+  network.is_linked = true;
+  home.OnLinkUp(kOwner, Incarnation(8));
+  BOOST_REQUIRE(network.Count<SyncMessage>() == 1);
+  const auto sync = std::get<SyncMessage>(network.sent.front());
+  BOOST_TEST(sync.waiting.size() < static_cast<std::size_t>(kBacklog));
+  const int rest = network.Count<ReserveMessage>();
+  BOOST_TEST(static_cast<int>(sync.waiting.size()) + rest == kBacklog);
+}
+
 // Guards against work that is taken after the signal to stop.
 BOOST_FIXTURE_TEST_CASE(StoppingHomeTakesNothingNew, Fixture) {
   const auto kept = Submit(Id("kept"));
