--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -118,6 +118,7 @@
 
   // Platform.
   Process& Backend(const std::string& name);
+  Address BackendAddress(const std::string& name) { return FindBackend(name).address; }
   void RestartBackend(const std::string& name);
   void ControlStore(const nlohmann::json& command);
   void ControlBackend(const std::string& name, const nlohmann::json& command);
