Find organisations by an index

Cause: each submission compared the ids of half of all organisations. Ruled out: sorting the list itself, which would change the order of the document. Change: ParseClusterConfig keeps the places of the organisations ordered by id.

--- a/include/bluebellpass/config.h
+++ b/include/bluebellpass/config.h
@@ -64,6 +64,9 @@
   std::vector<BackendConfig> backends;
   std::vector<ShiftRule> shifts;
   double weight_store_loads_per_minute = 6;  ///< model loads that may begin in a minute
+  /// Places in `organisations` in the order of their ids. Filled by ParseClusterConfig; a
+  /// configuration without it works too, but searches the whole list.
+  std::vector<std::uint32_t> organisations_by_id;
 
   const TierConfig* FindTier(const TierName& name) const;
   const OrganisationConfig* FindOrganisation(const OrganisationId& id) const;
--- a/src/config/cluster-config.cc
+++ b/src/config/cluster-config.cc
@@ -2,6 +2,7 @@
 #include <array>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -263,6 +264,14 @@
 }
 
 const OrganisationConfig* ClusterConfig::FindOrganisation(const OrganisationId& id) const {
+  if (organisations_by_id.size() == organisations.size()) {
+    const auto place = std::lower_bound(
+        organisations_by_id.begin(), organisations_by_id.end(), id,
+        [this](std::uint32_t i, const OrganisationId& key) { return organisations[i].id < key; });
+    if (place == organisations_by_id.end()) return nullptr;
+    const OrganisationConfig& organisation = organisations[*place];
+    return organisation.id == id ? &organisation : nullptr;
+  }
   const auto found = std::find_if(organisations.begin(), organisations.end(),
                                   [&](const OrganisationConfig& item) { return item.id == id; });
   return found == organisations.end() ? nullptr : &*found;
@@ -279,6 +288,19 @@
                      [&](const BackendConfig& backend) { return backend.pool == pool; });
 }
 
+namespace {
+
+void IndexOrganisations(ClusterConfig& config) {
+  config.organisations_by_id.resize(config.organisations.size());
+  std::iota(config.organisations_by_id.begin(), config.organisations_by_id.end(), 0U);
+  std::sort(config.organisations_by_id.begin(), config.organisations_by_id.end(),
+            [&](std::uint32_t a, std::uint32_t b) {
+              return config.organisations[a].id < config.organisations[b].id;
+            });
+}
+
+}  // namespace
+
 Result<ClusterConfig> ParseClusterConfig(std::string_view document) {
   Faults faults;
   const Json json = ParseStrict(document, faults);
@@ -302,6 +324,7 @@
                    [](const auto& item) { return item.id.Text(); });
   CheckShifts(faults, config);
   if (faults.First()) return *faults.First();
+  IndexOrganisations(config);
   return config;
 }
 
--- a/src/owner/owner-task.cc
+++ b/src/owner/owner-task.cc
@@ -140,6 +140,7 @@
   m_config = config.config;
   // The cells share one map of the organisations, which may be many.
   m_config->organisations.clear();
+  m_config->organisations_by_id.clear();
   UpdateOwnedPart();
   m_organisations = ShareOrganisations(config.config);
   UpdateOwnership();
--- a/src/policy/cell.cc
+++ b/src/policy/cell.cc
@@ -312,7 +312,8 @@
       CountDeath(release, ended.has_value() ? &*ended : nullptr, now);
       break;
     case ReleaseReason::kUnreachable:
-      // Nothing ran, so the content is not to blame, but the server gets no work for a while.
+      // The server was out of reach, which is not the fault of the content. It gets no work for a
+      // while.
       m_load.OnLost(release.backend, now);
       if (was_counted) m_suspects.UndoDeath(ended->content, now);
       break;
--- a/test/cluster-config-test.cc
+++ b/test/cluster-config-test.cc
@@ -113,4 +113,22 @@
   }
 }
 
+// Guards against organisations that the index does not find, or finds for another's id.
+BOOST_AUTO_TEST_CASE(EveryOrganisationIsFound) {
+  ClusterConfig config;
+  for (const int number : {7, 3, 11, 1, 9}) {
+    config.organisations.push_back(
+        {.id = OrganisationId("o" + std::to_string(number)), .weight = 1.0 + number});
+  }
+  const auto parsed = std::get<ClusterConfig>(ParseClusterConfig(FormatClusterConfig(config)));
+  for (const OrganisationConfig& organisation : config.organisations) {
+    const OrganisationConfig* found = parsed.FindOrganisation(organisation.id);
+    BOOST_REQUIRE(found != nullptr);
+    BOOST_TEST(found->weight == organisation.weight);
+    BOOST_TEST(config.FindOrganisation(organisation.id) != nullptr);
+  }
+  BOOST_TEST(parsed.FindOrganisation(OrganisationId("o2")) == nullptr);
+  BOOST_TEST(parsed.FindOrganisation(OrganisationId("z")) == nullptr);
+}
+
 }  // namespace bluebellpass
