--- a/test/cluster/matrix-page.cc
+++ b/test/cluster/matrix-page.cc
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <utility>
 
 #include "fault-matrix.h"
 
@@ -28,12 +29,29 @@
 
 )";
 
+constexpr char kNotProved[] = R"(
+## Not proved
+
+- A majority of the instances that has lost the object API, while an operator changes the configuration through a
+  minority that still reaches it: the majority may dispatch to a backend server that is leaving.
+- The shed floor while an instance restarts, or before the owner knows a new one: up to 1.5 s without its promise.
+- The window between the last check before a dispatch and the system's write of the bytes, for a process that is paused
+  exactly there.
+- Ids of a home that has stopped in an orderly way: callers that come later through other instances are told *unknown*,
+  also for ids that were never used.
+- Orders to engines are tested with a stand-in on one loop, not in this matrix. Adapters and roles cannot be ordered yet.
+- Replies of plain services and answers above 16 MiB are not bounded in memory.
+- Regions that lose each other, and fleets above 48 instances.
+)";
+
 struct Results {
   std::map<std::string, std::string> cells;  ///< "step x fault" to "passed" or "FAILED"
+  std::map<std::string, std::string> scenarios;
   int pairs_passed = 0;
   int pairs_failed = 0;
-  int unknown = 0;
+  int unknown = 0;  ///< of the answers in cells of the matrix, not in pairs
   int answers = 0;
+  bool is_in_pairs = false;  ///< the lines being read are of a run of pairs
   std::string seed;
 };
 
@@ -42,18 +60,25 @@
     const std::string start = std::string(state) + ": ";
     if (!line.starts_with(start)) continue;
     const std::string cell = line.substr(start.size());
-    if (cell.find(" + ") == std::string::npos) {
+    if (cell.find(" x ") == std::string::npos) {
+      results.scenarios[cell] = state;
+    } else if (cell.find(" + ") == std::string::npos) {
       results.cells[cell] = state;
     } else {
       (start == "passed: " ? results.pairs_passed : results.pairs_failed)++;
     }
   }
-  if (line.starts_with("seed ")) results.seed = line.substr(5);
+  if (line.starts_with("seed ")) {
+    results.seed = line.substr(5);
+    results.is_in_pairs = true;
+  }
   int unknown = 0;
   int answers = 0;
   if (std::sscanf(line.c_str(), "unknown outcomes: %d of %d", &unknown, &answers) == 2) {
-    results.unknown += unknown;
-    results.answers += answers;
+    if (!std::exchange(results.is_in_pairs, false)) {
+      results.unknown += unknown;
+      results.answers += answers;
+    }
   }
 }
 
@@ -95,8 +120,16 @@
   page << "\nCells: " << passed << " passed, " << failed << " failed, " << not_run << " not run.\n"
        << "Pairs of faults (seed " << results.seed << "): " << results.pairs_passed << " passed, "
        << results.pairs_failed << " failed.\n"
-       << "Answers with unknown outcome: " << results.unknown << " of " << results.answers
-       << ", all where the rule above allows it unless a cell failed.\n";
+       << "Answers with unknown outcome under single faults: " << results.unknown << " of "
+       << results.answers << ", all where the rule above allows it unless a cell failed.\n\n"
+       << "## Scenarios\n\nConfiguration, drain, planned stop, shedding, crashing requests and "
+          "silent "
+          "connections, each with\nfaults of its own (`test/cluster/scenarios-*.cc`).\n\n"
+       << "| scenario | result |\n|---|---|\n";
+  for (const auto& [name, state] : results.scenarios) {
+    page << "| " << name << " | " << state << " |\n";
+  }
+  page << kNotProved;
   return page.str();
 }
 
