Keep test processes out of each other's ports

Cause: two test processes whose ids are equal modulo 50 chose ports from the same range, some time before their children bound them. Ruled out: port 0 for all children; proxies and seeds need the ports beforehand. Change: a process holds the last port of its range and takes another range when it cannot. Before: about 30% of runs of six processes share a range (arithmetic); no failure was traced to it yet.

--- a/test/cluster/process.cc
+++ b/test/cluster/process.cc
@@ -22,19 +22,37 @@
 constexpr int kPortsPerProcess = 400;
 constexpr int kProcessSlots = 50;
 
-bool IsFree(int port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+/// @return true when the socket got the port
+bool Bind(int fd, int port) {
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_port = htons(static_cast<std::uint16_t>(port));
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+}
+
+bool IsFree(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+  const bool is_free = Bind(fd, port);
   close(fd);
   return is_free;
 }
 
+/// Reserves a range of ports for this process by holding its last one. Ports are chosen some time
+/// before a child binds them, so two test processes must not choose from the same range.
+int ReserveRange() {
+  for (int tries = 0; tries < kProcessSlots; ++tries) {
+    const int base = kFirstPort + (getpid() + tries) % kProcessSlots * kPortsPerProcess;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Kept open until the process ends.
+    if (Bind(fd, base + kPortsPerProcess - 1)) return base;
+    close(fd);
+  }
+  throw std::runtime_error("no free range of ports");
+}
+
 }  // namespace
 
 Process::Process(std::vector<std::string> command, std::string log_path) {
@@ -95,10 +113,10 @@
 }
 
 std::uint16_t FreePort() {
-  static const int base = kFirstPort + (getpid() % kProcessSlots) * kPortsPerProcess;
+  static const int base = ReserveRange();
   static int next = 0;
   for (int tries = 0; tries < kPortsPerProcess; ++tries) {
-    const int port = base + next++ % kPortsPerProcess;
+    const int port = base + next++ % (kPortsPerProcess - 1);
     if (IsFree(port)) return static_cast<std::uint16_t>(port);
   }
   throw std::runtime_error("no free port");
