--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -12,6 +12,7 @@
 const InstanceId kSelf("i1");
 const InstanceId kOwner("i0");
 constexpr int kMaxTurns = 200;
+constexpr int kBacklog = 2'500;  // more than fits one frame
 
 /// Records what is sent; everything is linked.
 class FakeNetwork : public PeerNetwork {
@@ -417,7 +418,6 @@
 
 // Guards against a backlog that is too large for one frame and is then never reserved.
 BOOST_FIXTURE_TEST_CASE(LargeBacklogIsSyncedInParts, Fixture) {
-  constexpr int kBacklog = 2'500;
   network.is_linked = false;
   for (int i = 0; i < kBacklog; ++i) Submit(Id("n" + std::to_string(i)));
   network.is_linked = true;
