Use one piece of code for the home's repeated steps

Cause: the same lambda, disposal and time difference stood twice in src/home, and the HTTP server counted all open responses for each request. Ruled out: a behaviour change; none is intended. Change: ReserveLater, DropRun, one MillisSince; the list is compacted on doubling. Before and after: home, http and http-limits tests pass, linter clean.

--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -20,10 +20,6 @@
 constexpr Millis kLongestReply{30'000};
 constexpr Millis kReplyGrace{1'000};
 
-std::int64_t MillisSince(TimePoint start, TimePoint now) {
-  return std::chrono::duration_cast<Millis>(now - start).count();
-}
-
 /// @return the region whose cell should run a pool's work: the home's own if it can
 Region ChooseRegion(const ClusterConfig& config, const PoolName& pool, const Region& own) {
   std::set<Region> active;
@@ -85,6 +81,20 @@
   }
 }
 
+void HomeTask::ReserveLater(Request& request) {
+  request.retry_timer.Start(kReserveAgainDelay, [this, id = request.id] {
+    Request* waiting = Find(id);
+    if (waiting != nullptr && waiting->phase == Phase::kWaiting) Reserve(*waiting);
+  });
+}
+
+void HomeTask::DropRun(Request& request) {
+  if (!request.run) return;
+  // The run may be calling at this moment, so it is destroyed in a later turn.
+  m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
+                       listener = std::shared_ptr<Listener>(std::move(request.listener))] {});
+}
+
 void HomeTask::CancelReservation(Request& request) {
   if (!request.reserved_cell) return;
   const auto owner = m_owners.find(*request.reserved_cell);
@@ -215,10 +225,7 @@
              {{"request", grant.id.Text()}, {"backend", grant.backend.Text()}, {"reason", *fault}});
     ReturnGrant(from, grant);
     if (request->phase == Phase::kWaiting) {
-      request->retry_timer.Start(kReserveAgainDelay, [this, id = grant.id] {
-        Request* waiting = Find(id);
-        if (waiting != nullptr && waiting->phase == Phase::kWaiting) Reserve(*waiting);
-      });
+      ReserveLater(*request);
     }
     return;
   }
@@ -367,14 +374,10 @@
       const bool is_withdrawn = failure == RunFailure::kWithdrawn;
       ReleaseGrant(request, is_withdrawn ? ReleaseReason::kNotUsed : ReleaseReason::kUnreachable,
                    {});
-      m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
-                           listener = std::shared_ptr<Listener>(std::move(request.listener))] {});
+      DropRun(request);
       request.phase = Phase::kWaiting;
       if (request.deadline <= m_context.loop.Now()) return OnDeadline(request.id);
-      request.retry_timer.Start(kReserveAgainDelay, [this, id = request.id] {
-        Request* waiting = Find(id);
-        if (waiting != nullptr && waiting->phase == Phase::kWaiting) Reserve(*waiting);
-      });
+      ReserveLater(request);
       return;
     }
     case RunFailure::kRefused: {
--- a/src/home/home-request.h
+++ b/src/home/home-request.h
@@ -9,6 +9,11 @@
 
 namespace bluebellpass {
 
+/// @return the time between two points in milliseconds
+inline std::int64_t MillisSince(TimePoint start, TimePoint now) {
+  return std::chrono::duration_cast<Millis>(now - start).count();
+}
+
 /// Passes a run's progress to the home task, which finds the request by its id.
 class HomeTask::Listener : public RunListener {
  public:
--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -16,10 +16,6 @@
 // Bounds what is handed to a sink at once, so that a slow reader holds no second copy of an answer.
 constexpr std::size_t kFeedBytes = 64U << 10U;
 
-std::int64_t MillisSince(TimePoint start, TimePoint now) {
-  return std::chrono::duration_cast<Millis>(now - start).count();
-}
-
 /// Gives the text's memory back. Assigning an empty string would keep its capacity.
 void Free(std::string& text) { std::string().swap(text); }
 
@@ -171,11 +167,7 @@
   request.retry_timer.Stop();
   // The id stays known for some minutes; the prompt is of no more use.
   Free(request.submission.prompt);
-  // The run may be calling at this moment, so it is destroyed in a later turn.
-  if (request.run) {
-    m_context.loop.Post([run = std::shared_ptr<BackendRun>(std::move(request.run)),
-                         listener = std::shared_ptr<Listener>(std::move(request.listener))] {});
-  }
+  DropRun(request);
   const std::string error = end.error ? std::string(AnswerFor(end.error->kind).name) : "";
   m_context.metrics.Count("requests_total",
                           "tier=\"" + request.submission.tier.Text() + "\",outcome=\"" +
--- a/src/home/home-task.h
+++ b/src/home/home-task.h
@@ -139,6 +139,8 @@
   CellId CellOf(const Request& request) const;
   Reservation ReservationOf(const Request& request) const;
   void Reserve(Request& request);
+  void ReserveLater(Request& request);
+  void DropRun(Request& request);
   void CancelReservation(Request& request);
   void SyncCell(const CellId& cell);
   void SyncChangedOwners();
--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr std::size_t kLeastCompacted = 64;
 // File descriptors kept for the process's own connections; of a small limit, a quarter.
 constexpr rlim_t kKeptDescriptors = 256;
 constexpr rlim_t kKeptShare = 4;
@@ -289,8 +290,10 @@
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
   h2o_socket_t* listener = nullptr;
-  // Weak references to responses that may still be open; cleaned while counting.
-  mutable std::vector<std::weak_ptr<Responder>> responses;
+  // Weak references to responses that may still be open; the ended ones are removed when the list
+  // has doubled.
+  std::vector<std::weak_ptr<Responder>> responses;
+  std::size_t compact_at = kLeastCompacted;
 
   Impl(Loop& event_loop, HttpServerLimits limits, HttpHandler function)
       : loop(event_loop), handler(std::move(function)) {
@@ -319,7 +322,7 @@
     Impl* impl = reinterpret_cast<Handler*>(handler)->impl;
     auto responder = std::make_shared<Responder>(impl->loop, req);
     responder->Attach();
-    if (impl->responses.size() > 2 * impl->CountOpen() + 64) impl->Compact();
+    if (impl->responses.size() >= impl->compact_at) impl->Compact();
     impl->responses.push_back(responder);
     impl->handler(ReadRequest(req), responder);
     return 0;
@@ -363,6 +366,7 @@
       const auto responder = weak.lock();
       return !responder || !responder->IsInProgress();
     });
+    compact_at = 2 * responses.size() + kLeastCompacted;
   }
 
   static void OnAccept(h2o_socket_t* listener, const char* error) {
