Keep requests away from backend servers that fail nearly all

Silent engines got new requests each time that a caller left.

Change: a backend server whose failure rate exceeds the mean by 0.35 gets one request at a time, by 0.5 only a trial now and then that may be repeated elsewhere. A run that is silent for a second and for three times the expected time counts as failed before its caller leaves.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -153,6 +153,7 @@
   work.fingerprint = StableHash(m_exchange->Body(),
                                 StableHash(work.organisation.Text(), StableHash(m_request.path)));
   work.is_repeat = m_sends > 0 || m_unsent_tries > 0;
+  work.may_repeat = m_route->IsRepeatable() && m_sends + 1 < m_route->max_backends;
   m_context.dispatcher.Submit(std::move(work), this);
 }
 
--- a/src/gateway/failure-rate.h
+++ b/src/gateway/failure-rate.h
@@ -23,7 +23,7 @@
 
  private:
   // Weight of one run.
-  static constexpr double kWeight = 0.15;
+  static constexpr double kWeight = 0.25;
   // Seconds in which the rate halves when there are no runs.
   static constexpr double kHalfLifeS = 4;
 
--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -99,11 +99,12 @@
   Offset<wire::WorkT> Put(const Work& work) {
     std::vector<Offset<flatbuffers::String>> excluded;
     for (const BackendId& id : work.excluded) excluded.push_back(Put(id));
-    return wire::CreateWorkT(
-        m_builder, Put(work.id), Put(work.service), Put(work.organisation), work.rank,
-        ToMillis(m_now - work.arrived), work.objective.count(), ToMillis(work.deadline - m_now),
-        work.prompt_tokens, work.output_tokens, work.max_gap.count(), work.patience.count(),
-        m_builder.CreateVector(excluded), work.quota_cost, work.fingerprint, work.is_repeat);
+    return wire::CreateWorkT(m_builder, Put(work.id), Put(work.service), Put(work.organisation),
+                             work.rank, ToMillis(m_now - work.arrived), work.objective.count(),
+                             ToMillis(work.deadline - m_now), work.prompt_tokens,
+                             work.output_tokens, work.max_gap.count(), work.patience.count(),
+                             m_builder.CreateVector(excluded), work.quota_cost, work.fingerprint,
+                             work.is_repeat, work.may_repeat);
   }
 
   FlatBufferBuilder& m_builder;
@@ -238,6 +239,7 @@
     work.quota_cost = t->quota_cost();
     work.fingerprint = t->fingerprint();
     work.is_repeat = t->is_repeat();
+    work.may_repeat = t->may_repeat();
     return work;
   }
   static std::string Text(const flatbuffers::String* text) {
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -203,7 +203,8 @@
     VT_EXCLUDED = 26,
     VT_QUOTA_COST = 28,
     VT_FINGERPRINT = 30,
-    VT_IS_REPEAT = 32
+    VT_IS_REPEAT = 32,
+    VT_MAY_REPEAT = 34
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -250,6 +251,9 @@
   bool is_repeat() const {
     return GetField<uint8_t>(VT_IS_REPEAT, 0) != 0;
   }
+  bool may_repeat() const {
+    return GetField<uint8_t>(VT_MAY_REPEAT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -272,6 +276,7 @@
            VerifyField<double>(verifier, VT_QUOTA_COST, 8) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_REPEAT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) &&
            verifier.EndTable();
   }
 };
@@ -325,6 +330,9 @@
   void add_is_repeat(bool is_repeat) {
     fbb_.AddElement<uint8_t>(WorkT::VT_IS_REPEAT, static_cast<uint8_t>(is_repeat), 0);
   }
+  void add_may_repeat(bool may_repeat) {
+    fbb_.AddElement<uint8_t>(WorkT::VT_MAY_REPEAT, static_cast<uint8_t>(may_repeat), 0);
+  }
   explicit WorkTBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -352,7 +360,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     double quota_cost = 0.0,
     uint64_t fingerprint = 0,
-    bool is_repeat = false) {
+    bool is_repeat = false,
+    bool may_repeat = false) {
   WorkTBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_quota_cost(quota_cost);
@@ -368,6 +377,7 @@
   builder_.add_organisation(organisation);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_may_repeat(may_repeat);
   builder_.add_is_repeat(is_repeat);
   return builder_.Finish();
 }
@@ -388,7 +398,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     double quota_cost = 0.0,
     uint64_t fingerprint = 0,
-    bool is_repeat = false) {
+    bool is_repeat = false,
+    bool may_repeat = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
@@ -409,7 +420,8 @@
       excluded__,
       quota_cost,
       fingerprint,
-      is_repeat);
+      is_repeat,
+      may_repeat);
 }
 
 struct RunT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -36,10 +36,17 @@
 constexpr double kScarcePart = 0.75;
 // Predicted waits are too short while more urgent work goes on arriving.
 constexpr double kWaitMargin = 1.3;
-// A run without an event for this long has failed when its caller leaves.
+// A run has failed when nothing has come for this long and for a multiple of the expected time.
 constexpr Millis kSilentRun{1'000};
+constexpr double kSilentRunFactor = 3;
+constexpr Millis kSilenceCheckPeriod{200};
 // A backend server is worse than the others when its failure rate exceeds their mean by this.
 constexpr double kFailureMargin = 0.2;
+// Above this excess it gets one request at a time, and above the next one only trials: about four
+// failures in a row reach it.
+constexpr double kLimitMargin = 0.35;
+constexpr double kEjectMargin = 0.5;
+constexpr Millis kTrialPeriod{500};
 // Added to the expected time for each part of the excess, in milliseconds; above any expected time.
 constexpr double kFailurePenaltyMs = 1e5;
 // Time for the grant and the request to travel.
@@ -182,6 +189,7 @@
   const auto found = m_backends.find(run.backend);
   if (found == m_backends.end()) return;
   FailureRate& failures = found->second.failures;
+  if (run.is_silent && report.outcome != RunOutcome::kCompleted) return;
   switch (report.outcome) {
     case RunOutcome::kNotRun:
       return;
@@ -197,6 +205,20 @@
   }
 }
 
+void Scheduler::JudgeSilentRuns(TimePoint now) {
+  if (now < m_next_silence_check) return;
+  m_next_silence_check = now + kSilenceCheckPeriod;
+  for (auto& [id, run] : m_runs) {
+    if (!run.is_reading || run.is_silent || now - run.started <= kSilentRun) continue;
+    const auto found = m_backends.find(run.backend);
+    if (found == m_backends.end()) continue;
+    const double expected_ms = found->second.speed.ReadingMs(run.unread_at_start);
+    if (MillisOf(now - run.started) <= expected_ms * kSilentRunFactor) continue;
+    run.is_silent = true;
+    found->second.failures.Note(true, now);
+  }
+}
+
 void Scheduler::Release(const AttemptId& id, const RunReport& report, TimePoint now) {
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
@@ -254,23 +276,31 @@
   capacity.fastest.decode_ms_per_token = std::numeric_limits<double>::max();
   const auto ids = m_by_service.find(service);
   if (ids == m_by_service.end()) return capacity;
-  std::vector<std::pair<int, double>> places;
+  std::vector<const BackendState*> present;
   for (const BackendId& id : ids->second) {
     const BackendState& state = m_backends.at(id);
     if (state.backend.is_draining) continue;
     capacity.has_any = true;
     if (state.avoid_until > now) continue;
-    const int count = PlacesOf(state);
-    capacity.places += count;
-    capacity.free_places += std::max(count - state.running, 0);
+    present.push_back(&state);
     capacity.failures += state.failures.At(now);
+  }
+  if (!present.empty()) capacity.failures /= static_cast<double>(present.size());
+  std::vector<std::pair<int, double>> places;
+  for (const BackendState* entry : present) {
+    const BackendState& state = *entry;
+    const bool is_ejected = state.failures.At(now) - capacity.failures > kEjectMargin;
+    // A place for the next trial.
+    const int count = is_ejected ? 1 : PlacesOf(state);
+    capacity.free_places += std::max(count - state.running, 0);
+    if (is_ejected) continue;
+    capacity.places += count;
     places.emplace_back(count, state.speed.decode_ms_per_token);
     if (state.speed.decode_ms_per_token < capacity.fastest.decode_ms_per_token)
       capacity.fastest = state.speed;
   }
   for (const auto& [count, speed] : places)
     capacity.fast_places += count * capacity.fastest.decode_ms_per_token / speed;
-  if (!places.empty()) capacity.failures /= static_cast<double>(places.size());
   if (places.empty()) capacity.fastest = SpeedModel{};
   capacity.fastest.reading_ratio = m_reading_ratio;
   return capacity;
@@ -323,8 +353,9 @@
     if (state.backend.is_draining || work.excluded.contains(id) || state.avoid_until > now ||
         state.running >= PlacesOf(state))
       continue;
-    const double excess = state.failures.At(now) - capacity.failures - kFailureMargin;
-    const double penalty_ms = std::max(excess, 0.0) * kFailurePenaltyMs;
+    const double excess = state.failures.At(now) - capacity.failures;
+    if (IsKeptOut(state, work, excess, now)) continue;
+    const double penalty_ms = std::max(excess - kFailureMargin, 0.0) * kFailurePenaltyMs;
     if (!state.is_engine) {
       const double load = state.running + penalty_ms;
       if (load >= best_ms) continue;
@@ -351,8 +382,17 @@
   return best;
 }
 
+bool Scheduler::IsKeptOut(const BackendState& state, const Work& work, double excess,
+                          TimePoint now) const {
+  if (excess <= kLimitMargin) return false;
+  if (state.running > 0) return true;
+  // A trial costs its caller little when the request can be sent elsewhere after a failure.
+  return excess > kEjectMargin && (now < state.next_trial || !work.may_repeat);
+}
+
 void Scheduler::Start(const Work& work, BackendState& state, TimePoint now) {
   ++state.running;
+  state.next_trial = now + kTrialPeriod;
   ++state.reading;
   state.unread_tokens += work.prompt_tokens;
   state.reserved_tokens += work.prompt_tokens + work.output_tokens;
@@ -431,6 +471,7 @@
 Decisions Scheduler::Decide(TimePoint now, StartGate& gate) {
   Decisions decisions;
   m_next.reset();
+  JudgeSilentRuns(now);
   std::map<ServiceName, std::vector<Waiting*>> queues;
   for (auto& [id, waiting] : m_waiting) queues[waiting.work.service].push_back(&waiting);
   for (auto& [service, queue] : queues)
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -35,6 +35,7 @@
   double quota_cost = 0;           ///< counts against the organisation's quota
   std::uint64_t fingerprint = 0;   ///< of the content, to recognise a request that comes again
   bool is_repeat = false;          ///< it was granted before, and is sent again
+  bool may_repeat = false;         ///< it may be sent again after a run that failed
 };
 
 enum class RunOutcome : std::uint8_t {
@@ -111,8 +112,10 @@
 /// bursts
 ///   of long prompts.
 /// - Backend servers that fail more of their runs than the others get work only when those are
-/// full.
-///   Answers backend servers whose health check is good while they fail requests.
+/// full, and those that fail nearly all get none but a trial from time to time. A run that is
+/// silent for long counts as failed before its caller leaves.
+///   Answers backend servers whose health check is good while they fail requests; those that fail
+///   at once would otherwise seem free and draw all that waits.
 /// - Work that cannot start before its caller leaves is refused when that becomes clear, mostly on
 ///   arrival, with the time at which the queue will have drained. Answers bursts above the
 ///   capacity.
@@ -170,6 +173,7 @@
     std::int64_t unread_tokens = 0;    ///< prompts of those
     std::int64_t reserved_tokens = 0;  ///< memory of all runs
     TimePoint avoid_until{};
+    TimePoint next_trial{};  ///< while it is ejected
     FailureRate failures;
   };
   struct Run {
@@ -178,6 +182,7 @@
     bool is_reading = true;
     std::int64_t unread_at_start = 0;
     TimePoint started;
+    bool is_silent = false;  ///< counted as failed, since nothing came for long
   };
   /// Work of one kind, to tell large requests from small ones.
   using WorkKind = std::tuple<ServiceName, int, Millis>;
@@ -206,7 +211,10 @@
   bool FitsBeside(const BackendState& state, const Work& work) const;
   BackendState* Choose(const Work& work, const Capacity& capacity, bool is_late, TimePoint now);
   void Start(const Work& work, BackendState& state, TimePoint now);
+  /// @return true when a backend server has no place for the work because it fails too often
+  bool IsKeptOut(const BackendState& state, const Work& work, double excess, TimePoint now) const;
   void Judge(const Run& run, const RunReport& report, TimePoint now);
+  void JudgeSilentRuns(TimePoint now);
   void EndReading(Run& run);
   void DecideService(const ServiceName& service, std::vector<Waiting*> queue, TimePoint now,
                      StartGate& gate, Decisions& decisions);
@@ -222,6 +230,7 @@
   std::map<AttemptId, Run> m_runs;
   std::map<WorkKind, SizeBalance> m_balances;
   double m_reading_ratio = kInitialReadingRatio;
+  TimePoint m_next_silence_check{};
   std::optional<TimePoint> m_next;
 };
 
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -26,6 +26,7 @@
   work.quota_cost = 9'510;
   work.fingerprint = 77;
   work.is_repeat = true;
+  work.may_repeat = true;
   return work;
 }
 
@@ -79,6 +80,7 @@
   BOOST_TEST(work.quota_cost == expected.quota_cost);
   BOOST_TEST(work.fingerprint == expected.fingerprint);
   BOOST_TEST(work.is_repeat);
+  BOOST_TEST(work.may_repeat);
   const RunReport& report = std::get<ReleaseRunMessage>(messages[3]).report;
   BOOST_TEST((report.outcome == RunOutcome::kLost));
   BOOST_TEST((report.first_event == Millis{90}));
--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -75,6 +75,40 @@
       BOOST_TEST(result.ServedLarge() >= result.Served() / 2, name);
 }
 
+// Guards against an engine that breaks off its requests at once and so seems to be the only free
+// one: while the others are full it draws all that arrives. A ninth of the engines must not fail
+// more than their share of what arrives meanwhile.
+BOOST_AUTO_TEST_CASE(BrokenEnginesDoNotDrawAllRequests) {
+  for (const double load : kLoads) {
+    PlayOptions options = HeavyDay(kSeed, load);
+    const double from_s = 8;
+    const double for_s = 8;
+    options.faults = {{PlayFault::Manner::kReset, 0, 2, from_s, for_s}};
+    const PlayResults results = Play(options);
+    BOOST_TEST_MESSAGE("load " << load << "\n" << Describe(results));
+    double arrived = 0;
+    for (const PlayKind& kind : options.kinds) arrived += kind.per_s * for_s;
+    int failed = 0;
+    for (const auto& [name, result] : results) failed += result.failed;
+    BOOST_TEST(failed < arrived * 2 / static_cast<double>(options.slowness.size()));
+  }
+}
+
+// Guards against engines that take requests and never answer, and get new ones each time that a
+// caller has left. Each of their places may lose a request for each pause of the callers at most.
+BOOST_AUTO_TEST_CASE(SilentEnginesGetNoMoreRequests) {
+  for (const double load : kLoads) {
+    PlayOptions options = HeavyDay(kSeed, load);
+    options.faults = {{PlayFault::Manner::kSilent, 0, 2, 8, 8}};
+    const PlayResults results = Play(options);
+    BOOST_TEST_MESSAGE("load " << load << "\n" << Describe(results));
+    int failed = 0;
+    for (const auto& [name, result] : results) failed += result.failed;
+    // Callers of dossiers leave after four seconds of silence.
+    BOOST_TEST(failed <= 2 * 2 * options.engine.slots);
+  }
+}
+
 // Guards against refusals without need: at half of the load nothing is refused and nobody leaves.
 BOOST_AUTO_TEST_CASE(LightDayRefusesNothing) {
   PlayOptions options = HeavyDay(9);
--- a/test/standins/load-play.cc
+++ b/test/standins/load-play.cc
@@ -20,6 +20,8 @@
 
 constexpr Millis kTick{1};
 constexpr Millis kLeastPatience{2'000};
+// An engine that resets connections does so after a round trip.
+constexpr Millis kResetAfter{3};
 
 struct Open : gateway::StartGate {
   bool TryStart(const Work&, TimePoint) override { return true; }
@@ -150,6 +152,7 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i)
       for (const EngineModel::Event& event : m_engines[i].RunUntil(now))
         is_changed = TakeEvent(event) || is_changed;
+    is_changed = BreakOff(now) || is_changed;
     is_changed = DropImpatient(now) || is_changed;
     if (!m_is_scheduled) return;
     const auto next = m_scheduler.NextDecision();
@@ -184,9 +187,34 @@
     Attempt& attempt = m_attempts.at(id);
     attempt.engine = engine;
     attempt.granted = now;
+    if (const PlayFault* fault = FaultOf(engine, now)) {
+      if (fault->manner == PlayFault::Manner::kReset) m_resets.emplace(now + kResetAfter, id);
+      return;
+    }
     m_engines[engine].Admit(id, attempt.prompt, attempt.output, now);
   }
 
+  const PlayFault* FaultOf(std::size_t engine, TimePoint now) const {
+    for (const PlayFault& fault : m_options.faults)
+      if (engine >= fault.first && engine < fault.first + fault.count && now >= At(fault.from_s) &&
+          now < At(fault.from_s + fault.for_s))
+        return &fault;
+    return nullptr;
+  }
+
+  bool BreakOff(TimePoint now) {
+    bool is_changed = false;
+    while (!m_resets.empty() && m_resets.begin()->first <= now) {
+      const std::string id = m_resets.begin()->second;
+      m_resets.erase(m_resets.begin());
+      if (m_active.erase(id) == 0) continue;
+      ++m_results[m_attempts.at(id).kind->name].failed;
+      Release(id, RunOutcome::kLost, now);
+      is_changed = true;
+    }
+    return is_changed;
+  }
+
   void Apply(const Decisions& decisions, TimePoint now) {
     for (const auto& grant : decisions.grants)
       Send(grant.id.Text(), std::stoul(grant.backend.Text().substr(1)), now);
@@ -265,7 +293,8 @@
     }
     for (const std::string& id : gone) {
       const Attempt& attempt = m_attempts.at(id);
-      ++m_results[attempt.kind->name].left;
+      PlayResult& result = m_results[attempt.kind->name];
+      ++(attempt.engine && FaultOf(*attempt.engine, attempt.granted) ? result.failed : result.left);
       m_active.erase(id);
       if (attempt.engine) {
         m_engines[*attempt.engine].Cancel(id);
@@ -286,6 +315,7 @@
   std::map<std::string, Attempt> m_attempts;
   std::set<std::string> m_active;
   std::multimap<TimePoint, std::string> m_arrivals;
+  std::multimap<TimePoint, std::string> m_resets;
   PlayResults m_results;
 };
 
@@ -295,11 +325,11 @@
 PlayResults PlayUnscheduled(const PlayOptions& options) { return Player(options, false).Run(); }
 
 std::string Describe(const PlayResults& results) {
-  std::string text = "kind          asked on time   late refused   left  worth  large\n";
+  std::string text = "kind          asked on time   late refused   left failed  worth  large\n";
   for (const auto& [name, r] : results) {
     char line[160];
-    std::snprintf(line, sizeof(line), "%-12s %6d %7d %6d %7d %6d  %.3f  %.3f\n", name.c_str(),
-                  r.asked, r.on_time, r.late, r.refused, r.left, r.worth / r.worth_owed,
+    std::snprintf(line, sizeof(line), "%-12s %6d %7d %6d %7d %6d %6d  %.3f  %.3f\n", name.c_str(),
+                  r.asked, r.on_time, r.late, r.refused, r.left, r.failed, r.worth / r.worth_owed,
                   r.ServedLarge());
     text += line;
   }
--- a/test/standins/load-play.h
+++ b/test/standins/load-play.h
@@ -36,9 +36,23 @@
   double for_s = 0;
 };
 
+/// A time in which some engines fail all that they are sent, while they stay registered.
+struct PlayFault {
+  enum class Manner : std::uint8_t {
+    kReset,   ///< requests are broken off at once
+    kSilent,  ///< requests get no answer
+  };
+  Manner manner = Manner::kReset;
+  std::size_t first = 0;  ///< index of the first of these engines
+  std::size_t count = 1;
+  double from_s = 0;
+  double for_s = 0;
+};
+
 struct PlayOptions {
   std::vector<PlayKind> kinds;
   std::vector<PlayBurst> bursts;
+  std::vector<PlayFault> faults;
   std::vector<double> slowness;  ///< of each engine, against the model's options
   EngineModelOptions engine;
   double length_s = 30;
@@ -52,6 +66,7 @@
   int late = 0;
   int refused = 0;      ///< told so, and did not come back with success
   int left = 0;         ///< the caller gave up without an answer
+  int failed = 0;       ///< broken off or left in silence by an engine that fails
   int asked_large = 0;  ///< the largest tenth
   int served_large = 0;
   double worth = 0;
