Hold requests above a quota once and in order

Cause: a request that its organisation's quota could fund in a moment was held and then submitted anew, any number of times.

Ruled out: refusals that were lost (the coordinator logged none).

Change: a held request reserves its tokens at once and enters the queue when they have flowed in. It is held for 250 ms at most, whatever its kind.

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -7,9 +7,9 @@
 
 // Shorter waits would bring the caller back before the bucket holds its request.
 constexpr Millis kLeastQuotaWait{100};
-// A wait that is short against the objective is spent here instead of at the caller. Parts of the
-// objective.
-constexpr int kHeldPart = 4;
+// A shorter wait is spent here instead of at the caller. The same for all kinds of request: a limit
+// that grew with the objective would give an organisation's quota to its few large requests.
+constexpr Millis kLongestHold{250};
 // A backend server that broke off a run and refuses connections within this time has died.
 constexpr Millis kDeathConfirmed{3'000};
 
@@ -45,7 +45,9 @@
   const Organisation* organisation = Find(work.organisation);
   if (organisation != nullptr && IsCounted(work)) {
     const Millis wait = m_quota.WaitFor(*organisation, work.quota_cost, now);
-    if (wait > Millis{0} && wait * kHeldPart <= work.objective) {
+    if (wait > Millis{0} && wait <= kLongestHold) {
+      // Its tokens are reserved from now on, or smaller requests would take them as they flow in.
+      m_quota.Reserve(work.organisation, work.quota_cost);
       m_held.push_back({std::move(work), now + wait});
       return;
     }
@@ -73,7 +75,7 @@
     ready.push_back(std::move(held.work));
     return true;
   });
-  for (Work& work : ready) Submit(std::move(work), now);
+  for (Work& work : ready) m_scheduler.Add(std::move(work));
 }
 
 std::optional<TimePoint> Coordinator::NextDecision() const {
@@ -84,12 +86,20 @@
 }
 
 void Coordinator::ForgetHome(const InstanceId& home) {
-  std::erase_if(m_held, [&](const Held& held) { return held.work.home == home; });
+  std::erase_if(m_held, [&](const Held& held) {
+    if (held.work.home != home) return false;
+    Dequeue(held.work);
+    return true;
+  });
   for (const Work& work : m_scheduler.ForgetHome(home)) Dequeue(work);
 }
 
 void Coordinator::Withdraw(const AttemptId& id) {
-  std::erase_if(m_held, [&](const Held& held) { return held.work.id == id; });
+  std::erase_if(m_held, [&](const Held& held) {
+    if (held.work.id != id) return false;
+    Dequeue(held.work);
+    return true;
+  });
   const Work* work = m_scheduler.FindWaiting(id);
   if (work == nullptr) return;
   Dequeue(*work);
--- a/test/gateway-quota-test.cc
+++ b/test/gateway-quota-test.cc
@@ -50,6 +50,56 @@
 
 }  // namespace
 
+// Guards against large requests of an organisation above its quota that are neither started nor
+// refused: smaller ones took each token that flowed in, until the callers of the large ones left.
+BOOST_AUTO_TEST_CASE(RequestsAboveTheQuotaAreDecidedSoon) {
+  Coordinator coordinator;
+  coordinator.SetQuotaTolerance({Millis{8'000}, 0, 0});
+  const auto table = std::make_shared<const RoutingTable>(ConfigWithOneEngine());
+  coordinator.SetTable(table);
+  Backend backend;
+  backend.id = BackendId("b");
+  backend.service = ServiceName("s");
+  backend.slots = 50;
+  coordinator.Queue().SetBackend(backend, table->FindService(ServiceName("s")));
+  std::map<AttemptId, TimePoint> undecided;
+  Millis longest{0};
+  const Millis objective{1'000};
+  int next = 0;
+  const auto decide = [&](const AttemptId& id, TimePoint now) {
+    longest = std::max(longest, std::chrono::duration_cast<Millis>(now - undecided.at(id)));
+    undecided.erase(id);
+  };
+  for (std::int64_t ms = 0; ms < 20'000; ms += 5) {
+    const TimePoint now = At(ms);
+    // Three times the quota, in small requests and a few large ones.
+    if (ms % 10 == 0) {
+      Work work;
+      work.id = AttemptId("w" + std::to_string(next++));
+      work.service = ServiceName("s");
+      work.organisation = OrganisationId("o");
+      work.arrived = now;
+      work.objective = objective;
+      work.patience = Millis{60'000};
+      work.deadline = now + Millis{60'000};
+      work.prompt_tokens = 100;
+      work.quota_cost = next % 20 == 0 ? 12'000 : 1'300;
+      undecided[work.id] = now;
+      coordinator.Submit(std::move(work), now);
+    }
+    const Decisions decisions = coordinator.Decide(now);
+    for (const Grant& grant : decisions.grants) {
+      decide(grant.id, now);
+      coordinator.Release(grant.id, {RunOutcome::kCompleted, {}, {}}, now);
+    }
+    for (const Refusal& refusal : decisions.refusals) decide(refusal.id, now);
+  }
+  for (const auto& [id, since] : undecided)
+    longest = std::max(longest, std::chrono::duration_cast<Millis>(At(20'000) - since));
+  // A decision that takes longer than half of the objective leaves no time for the answer.
+  BOOST_TEST(longest <= objective / 2);
+}
+
 // Guards against a quota that is exceeded in some window by requests that wait for seconds and are
 // then dropped: what they give back must not be spent on top of what has flowed in since.
 BOOST_AUTO_TEST_CASE(DroppedWorkDoesNotRaiseTheQuota) {
