--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -16,6 +16,9 @@
 constexpr Millis kAvoidTime{500};
 // A backend server behind whose address another one answers is of no use until it registers anew.
 constexpr Millis kAvoidMovedTime{5'000};
+// An instance that has just started keeps requests for this long until it has a configuration,
+// which mostly takes less than the round trip of a refused caller.
+constexpr Millis kLongestStart{1'000};
 // Advice to callers when this instance cannot serve now.
 constexpr Millis kRetryUnready{300};
 // Unsent bytes of an answer above which reading from the backend server pauses.
@@ -69,23 +72,40 @@
 
 void Call::Begin() {
   m_exchange->OnClosed([self = shared_from_this()] { self->OnCallerGone(); });
+  if (!Decode()) return;
+  if (!m_context.knowledge.Table()) return AwaitConfig();
+  Enter();
+}
+
+void Call::AwaitConfig() {
+  m_timer.Start(kLongestStart, [self = shared_from_this()] {
+    self->Refuse(kUnavailable, "no_config", kRetryUnready);
+  });
+  m_context.knowledge.WhenReady([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->m_state == State::kNew) self->Enter();
+  });
+}
+
+void Call::Enter() {
+  m_timer.Stop();
   if (!Admit()) return;
   m_context.retry_budgets.For(m_service).NoteRequest(m_arrived);
   Submit();
 }
 
-bool Call::Admit() {
+bool Call::Decode() {
   Result<CallerRequest> request = m_context.protocol.DecodeRequest(m_exchange->Head());
   if (!IsOk(request)) {
     Refuse(400, ErrorOf(request).field.c_str(), std::nullopt);
     return false;
   }
   m_request = std::get<CallerRequest>(std::move(request));
+  return true;
+}
+
+bool Call::Admit() {
   m_table = m_context.knowledge.Table();
-  if (!m_table) {
-    Refuse(kUnavailable, "no_config", kRetryUnready);
-    return false;
-  }
   m_route = m_table->FindRoute(m_request.host, m_request.path);
   if (m_route == nullptr || m_route->targets.empty()) {
     if (m_context.knowledge.MayDeny()) {
@@ -122,7 +142,8 @@
   if (m_request.deadline) longest = std::min(longest, *m_request.deadline);
   if (m_route->timeout > Millis{0}) longest = std::min(longest, m_route->timeout);
   m_deadline = m_arrived + longest;
-  m_timer.Start(longest, [self = shared_from_this()] { self->OnTimeout(); });
+  m_timer.Start(std::max(Remaining(), Millis{1}),
+                [self = shared_from_this()] { self->OnTimeout(); });
 }
 
 Millis Call::Remaining() const {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -56,6 +56,11 @@
  private:
   enum class State { kNew, kWaiting, kSent, kAnswering, kEnded };
 
+  /// Reads the request's fields.
+  bool Decode();
+  void AwaitConfig();
+  /// Finds the route and the organisation, and puts the request in the queue.
+  void Enter();
   bool Admit();
   bool Identify();
   void SetTimes();
--- a/src/gateway/knowledge.cc
+++ b/src/gateway/knowledge.cc
@@ -1,5 +1,7 @@
 #include "knowledge.h"
 
+#include <utility>
+
 namespace bluebellpass::gateway {
 
 bool Knowledge::SetConfig(Config config) {
@@ -8,6 +10,13 @@
   return true;
 }
 
+void Knowledge::ConfirmConfig(BootTime at) {
+  m_config_at = std::max(m_config_at, at);
+  if (!m_table) return;
+  const auto actions = std::exchange(m_when_ready, {});
+  for (const auto& action : actions) action();
+}
+
 const Backend* Knowledge::FindBackend(const BackendId& id) const {
   const auto found = m_backends.find(id);
   return found == m_backends.end() ? nullptr : &found->second;
--- a/src/gateway/knowledge.h
+++ b/src/gateway/knowledge.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "boot-clock.h"
 #include "model.h"
@@ -31,7 +33,9 @@
   /// @return true when it is in force now
   bool SetConfig(Config config);
   /// The configuration was confirmed as the newest at this time.
-  void ConfirmConfig(BootTime at) { m_config_at = std::max(m_config_at, at); }
+  void ConfirmConfig(BootTime at);
+  /// Runs the action once there is a confirmed configuration; never from within this call.
+  void WhenReady(std::function<void()> action) { m_when_ready.push_back(std::move(action)); }
   /// @return the configuration in force, or null
   const std::shared_ptr<const RoutingTable>& Table() const { return m_table; }
   /// @return time since the configuration was last confirmed
@@ -56,6 +60,7 @@
   std::shared_ptr<const RoutingTable> m_table;
   BootTime m_config_at{std::chrono::hours(-24)};
   std::map<BackendId, Backend> m_backends;
+  std::vector<std::function<void()>> m_when_ready;
 };
 
 }  // namespace bluebellpass::gateway
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -8,7 +8,7 @@
 #include "soak/engine-standin.h"
 #include "soak/store-standin.h"
 
-/// Graceful shutdown of a real gateway process.
+/// Start and graceful shutdown of a real gateway process.
 
 namespace bluebellpass::test {
 namespace {
@@ -84,6 +84,38 @@
 
 }  // namespace
 
+// Guards against callers that are turned away by an instance that has just started and will know
+// its configuration in a moment.
+BOOST_FIXTURE_TEST_CASE(RequestDuringTheStartIsServed, Fixture) {
+  store.SetFault(StoreStandin::Fault::kBusy);
+  BOOST_REQUIRE(RunUntil(
+      [&] {
+        const auto probe = TcpStream::Connect(loop, gateway, KeepAlive{}, nullptr);
+        return RunUntil([&] { return !probe->IsOpen() || probe->IsConnected(); }, Millis{200}) &&
+               probe->IsConnected();
+      },
+      kStartLimit));
+  int status = 0;
+  std::optional<CallEnd> end;
+  PoolCallEvents events;
+  events.on_head = [&](const HttpHead& head) {
+    status = head.status;
+    return true;
+  };
+  events.on_end = [&](CallEnd how) { end = how; };
+  const auto call =
+      pool.Start(gateway,
+                 SerializeRequest(
+                     "POST", "/book/x",
+                     {{"Host", "stop.test"}, {names::kAttempt, "early"}, {"Content-Length", "2"}}) +
+                     "ok",
+                 std::move(events), true);
+  RunUntil([] { return false; }, Millis{50});
+  store.SetFault(StoreStandin::Fault::kNone);
+  BOOST_TEST(RunUntil([&] { return end.has_value(); }, Millis{5'000}));
+  BOOST_TEST(status == 200);
+}
+
 // Guards against a request that a stopping process takes on a kept connection and cannot finish:
 // early ones are served, late ones are refused as not run, and the process ends in order.
 BOOST_FIXTURE_TEST_CASE(StopServesEarlyAndRefusesLateRequests, Fixture) {
