--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -81,6 +81,7 @@
   kCoordinatorChanged = 611,
   kWorkGranted = 612,
   kWorkRefused = 613,
+  kBackendsListed = 614,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,8 +27,6 @@
 constexpr Millis kRetryElsewhere{50};
 // Before the platform kills the process, to deliver the last answers.
 constexpr Millis kStopMargin{700};
-// One kind of calls looks for the store while it is down; all others wait for its success.
-constexpr Millis kStoreSearchPeriod{500};
 constexpr char kEventsPath[] = "/v1/events";
 constexpr char kLinkKeysName[] = "link-keys";
 constexpr std::size_t kLinkKeyBytes = 32;
@@ -148,7 +146,7 @@
           m_loop, {},
           [this](const std::shared_ptr<HttpExchange>& exchange) { OnMetricsCall(exchange); }),
       m_register_task(m_loop, [this] { Register(); }),
-      m_keys_task(m_loop, [this] { ReadLinkKeys(); }),
+      m_keys_task(m_loop, [this] { ReadLinkKeys(ReadAge::kAny); }),
       m_list_task(m_loop, [this] { ListInstances(""); }),
       m_budget_timer(m_loop),
       m_signal_timer(m_loop),
@@ -189,7 +187,7 @@
   m_budget_timer.StartPeriodic(kBudgetPeriod, [this] { UpdateRetryBudgets(); });
   StartWatches();
   Register();
-  ReadLinkKeys();
+  ReadLinkKeys(ReadAge::kAny);
   m_signal_timer.StartPeriodic(kSignalPeriod, [this] { CheckSignals(); });
   m_log_timer.StartPeriodic(kLogPeriod, [this] { m_log_writer->Flush(); });
   m_loop.Run();
@@ -207,10 +205,9 @@
   };
   WatchOptions options;
   options.wait = kWatchWait;
-  options.largest_backoff = kStoreSearchPeriod;
   ObjectWatch::Events config;
   config.on_object = [this](const StoredObject& object) {
-    m_fleet.AnnounceObject(ObjectKind::kConfig, object);
+    if (m_config_watch->HasView()) m_fleet.AnnounceObject(ObjectKind::kConfig, object);
     OnConfigObject(object);
   };
   config.on_current = [this](BootTime at) { m_knowledge.ConfirmConfig(at); };
@@ -221,13 +218,15 @@
   };
   m_config_watch = std::make_unique<ObjectWatch>(*m_feed, m_loop, m_clock, ObjectKind::kConfig,
                                                  options, std::move(config));
+  // The watch of the configuration looks for the store while it is down; all others wait for its
+  // success.
   options.largest_backoff = kStoreTaskPeriod;
   ObjectWatch::Events backends;
   backends.on_object = [this](const StoredObject& object) {
-    m_fleet.AnnounceObject(ObjectKind::kBackends, object);
+    if (m_backend_watch->HasView()) m_fleet.AnnounceObject(ObjectKind::kBackends, object);
     OnBackendObject(object);
   };
-  backends.on_batch = [this] { m_fleet.Reconsider(); };
+  backends.on_batch = [this] { OnBackendBatch(); };
   backends.on_reachable = reachable("backends");
   m_backend_watch = std::make_unique<ObjectWatch>(*m_feed, m_loop, m_clock, ObjectKind::kBackends,
                                                   options, std::move(backends));
@@ -269,18 +268,28 @@
   m_fleet.Reconsider();
 }
 
+void Gateway::OnBackendBatch() {
+  if (!std::exchange(m_has_listed_backends, true))
+    LogEvent(EventId::kBackendsListed,
+             {{"count", static_cast<std::int64_t>(m_knowledge.Backends().size())},
+              {"revision", static_cast<std::int64_t>(m_backend_watch->Seen().Value())}});
+  m_fleet.Reconsider();
+}
+
 void Gateway::OnBackendObject(const StoredObject& object) {
   const BackendId id(object.name);
   if (!object.is_deleted && object.spec) {
     Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
     if (IsOk(backend)) {
       const Backend& entry = std::get<Backend>(backend);
-      LogEvent(EventId::kBackendChanged,
-               {{"backend", object.name},
-                {"address", entry.address.Text()},
-                {"service", entry.service.Text()},
-                {"state", entry.is_draining ? "draining" : "ready"},
-                {"revision", static_cast<std::int64_t>(object.revision.Value())}});
+      // The first list of a large fleet would fill the log.
+      if (m_has_listed_backends)
+        LogEvent(EventId::kBackendChanged,
+                 {{"backend", object.name},
+                  {"address", entry.address.Text()},
+                  {"service", entry.service.Text()},
+                  {"state", entry.is_draining ? "draining" : "ready"},
+                  {"revision", static_cast<std::int64_t>(object.revision.Value())}});
       m_knowledge.SetBackend(entry);
       const auto& table = m_knowledge.Table();
       m_coordinator.Queue().SetBackend(entry, table ? table->FindService(entry.service) : nullptr);
@@ -298,8 +307,8 @@
   m_coordinator.Queue().RemoveBackend(id);
 }
 
-void Gateway::ReadLinkKeys() {
-  m_feed->List(ObjectKind::kFleet, "", [this](Result<ObjectPage> result) {
+void Gateway::ReadLinkKeys(ReadAge age) {
+  m_feed->List(ObjectKind::kFleet, "", age, [this, age](Result<ObjectPage> result) {
     if (!IsOk(result)) return m_keys_task.RetryLater();
     for (const StoredObject& object : std::get<ObjectPage>(result).objects) {
       if (object.name != kLinkKeysName || !object.spec) continue;
@@ -313,15 +322,17 @@
                  {{"object", object.name}, {"reason", ErrorOf(started).message}});
       return;
     }
+    // The keys never change once they are there.
+    if (age == ReadAge::kAny) return ReadLinkKeys(ReadAge::kCurrent);
     // Whoever creates the object first gives the key to all; a conflict or a lost reply is resolved
     // by reading again.
     m_feed->Create(ObjectKind::kFleet, kLinkKeysName, {{"keys", {MakeLinkKey()}}},
-                   [this](const Result<Revision>&) { ReadLinkKeys(); });
+                   [this](const Result<Revision>&) { ReadLinkKeys(ReadAge::kCurrent); });
   });
 }
 
 void Gateway::ListInstances(const std::string& after) {
-  m_feed->List(ObjectKind::kInstances, after, [this](Result<ObjectPage> result) {
+  m_feed->List(ObjectKind::kInstances, after, ReadAge::kCurrent, [this](Result<ObjectPage> result) {
     if (!IsOk(result)) return m_list_task.RetryLater();
     const ObjectPage& page = std::get<ObjectPage>(result);
     for (const StoredObject& object : page.objects) AddInstance(object);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,8 +50,9 @@
   void StartWatches();
   void OnStoreFound();
   void OnConfigObject(const StoredObject& object);
+  void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
-  void ReadLinkKeys();
+  void ReadLinkKeys(ReadAge age);
   void ListInstances(const std::string& after);
   void AddInstance(const StoredObject& object);
   void ForgetInstance(const InstanceId& id, std::uint64_t registered);
@@ -92,6 +93,7 @@
   std::set<std::shared_ptr<Call>> m_calls;
   Revision m_registration;
   bool m_is_registered = false;
+  bool m_has_listed_backends = false;
   bool m_is_stopping = false;
   TimePoint m_stop_began;
   StoreTask m_register_task;
--- a/src/gateway/object-feed.h
+++ b/src/gateway/object-feed.h
@@ -33,6 +33,12 @@
   Revision revision;  ///< of the store, as of the reply
 };
 
+/// How old the objects of a reply may be.
+enum class ReadAge : std::uint8_t {
+  kCurrent,
+  kAny,  ///< possibly seconds old, at a fraction of the price
+};
+
 /// Client of the platform's store. Replies come in later turns of the loop.
 ///
 /// Errors: kNotFound (no such object; for a watch: the history since the revision is gone),
@@ -44,7 +50,8 @@
 
   /// Lists the objects of a kind.
   /// @param after name after which to continue; empty for the start
-  virtual void List(ObjectKind kind, const std::string& after,
+  /// @param age how old the reply may be
+  virtual void List(ObjectKind kind, const std::string& after, ReadAge age,
                     std::function<void(Result<ObjectPage>)> done) = 0;
   /// Waits for changes of a kind after a revision. An empty page means that there were none for the
   /// whole waiting time.
--- a/src/gateway/object-watch.cc
+++ b/src/gateway/object-watch.cc
@@ -16,13 +16,14 @@
       m_timer(timers) {}
 
 void ObjectWatch::ListFrom(const std::string& after) {
+  m_list_after = after;
+  m_must_list = false;
   if (after.empty()) {
-    m_must_list = false;
     m_list_started = m_clock.Now();
     m_list_revision = Revision{};
     m_listed.clear();
   }
-  m_feed.List(m_kind, after,
+  m_feed.List(m_kind, after, ReadAge::kCurrent,
               [this, alive = m_alive, sent = m_clock.Now()](Result<ObjectPage> result) {
                 if (*alive) OnList(sent, std::move(result));
               });
@@ -44,16 +45,23 @@
   for (const auto& [name, revision] : m_known)
     if (!m_listed.contains(name)) gone.push_back({name, m_list_revision, true, nullptr});
   Apply(gone);
+  const bool is_first = !HasView();
   m_revision = m_list_revision;
   if (m_events.on_batch) m_events.on_batch();
   Prove(std::min(sent, m_list_started));
-  Next(Millis{0});
+  if (is_first) m_paused_first = std::min(m_options.first_pause, m_options.wait);
+  Next(m_paused_first);
 }
 
 void ObjectWatch::Wait() {
   m_is_paused = false;
-  if (m_must_list) return ListFrom("");
-  const Millis wait = m_options.wait;
+  if (m_must_list) return ListFrom(m_list_after);
+  if (m_is_suspended) {
+    m_is_idle = true;
+    return;
+  }
+  const Millis wait =
+      std::max(m_options.wait - std::exchange(m_paused_first, Millis{0}), Millis{1});
   m_feed.Watch(m_kind, m_revision, wait,
                [this, alive = m_alive, wait, sent = m_clock.Now()](Result<ObjectPage> result) {
                  if (*alive) OnChanges(sent, wait, std::move(result));
--- a/src/gateway/object-watch.h
+++ b/src/gateway/object-watch.h
@@ -23,6 +23,9 @@
   Millis largest_backoff{400};
   /// Pause between a change and the next call, so that quick successions cost fewer calls.
   Millis settle{60};
+  /// Pause between the first list and the first wait: an instance that finds a coordinator meanwhile
+  /// makes no further call. The wait is shorter by as much.
+  Millis first_pause{300};
 };
 
 /// Follows all objects of a kind: lists them, then waits for changes, and lists again when the
@@ -51,11 +54,15 @@
   bool IsSuspended() const { return m_is_suspended; }
   /// Changes the longest wait of a call, from the next one on.
   void SetWait(Millis wait) { m_options.wait = wait; }
+  /// Changes the largest pause after failures.
+  void SetLargestBackoff(Millis pause) { m_options.largest_backoff = pause; }
   /// Takes in a change that another instance has read from the store.
   void Take(const StoredObject& object);
   /// Takes in a proof: all changes up to the revision have been taken in, and the view was current
   /// at this time.
   void Confirm(Revision revision, BootTime at);
+  /// @return true once a whole list has been taken in
+  bool HasView() const { return m_revision != Revision{}; }
   /// @return the revision up to which all changes are in the view
   Revision Seen() const { return m_revision; }
   /// @return time at which the view was last proved to be current
@@ -81,9 +88,11 @@
   Revision m_revision;
   std::map<std::string, Revision> m_known;  ///< revision of the last state of each object
   std::set<std::string> m_listed;
+  std::string m_list_after;  ///< where the list goes on after a failure
   BootTime m_list_started{};
   Revision m_list_revision;
   Millis m_backoff{0};
+  Millis m_paused_first{0};  ///< part of the next wait that has passed already
   bool m_must_list = true;
   bool m_is_suspended = false;
   bool m_is_idle = false;  ///< suspended with no call in progress
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -11,6 +11,10 @@
 // Waits of a reader of the store: short for the coordinator, whose proofs all others rely on.
 constexpr Millis kSourceWait{700};
 constexpr Millis kOwnWait{1'500};
+// Largest pauses between calls to a store that does not answer. Followers hear from the coordinator
+// when it answers again, so that an outage does not cost calls of each instance.
+constexpr Millis kSourceSearch{500};
+constexpr Millis kFollowerSearch{2'000};
 // Older proofs end the reliance on the coordinator. Above the wait of its calls, and low enough for
 // a change to be read from the store within the platform's bound of two seconds.
 constexpr Millis kLongestProofAge{1'200};
@@ -29,6 +33,7 @@
     channel->start.reset();
     channel->watch->SetWait(is_remote ? kOwnWait : kSourceWait);
   }
+  m_config.watch->SetLargestBackoff(is_remote ? kFollowerSearch : kSourceSearch);
   Update();
 }
 
@@ -85,7 +90,8 @@
 }
 
 void Relay::ConfirmChannel(Channel& channel, Revision revision, BootTime at) {
-  if (!m_is_remote) return;
+  // What a coordinator finds in its first list is not announced to its followers.
+  if (!m_is_remote || revision == Revision{}) return;
   if (!channel.start) channel.start = revision;
   if (IsSynced(channel)) channel.watch->Confirm(revision, at);
 }
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -92,6 +92,8 @@
     EventInfo{kWorkGranted, "work_granted", kInfo,
               "the coordinator granted a backend server to a request"},
     EventInfo{kWorkRefused, "work_refused", kInfo, "the coordinator refused a request"},
+    EventInfo{kBackendsListed, "backends_listed", kInfo,
+              "the first list of backend servers has been read"},
 };
 
 constexpr std::size_t kMaxRecorded = 20'000;
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -28,15 +28,16 @@
     bool is_watch = false;
     std::string after;
     Revision revision;
+    Millis wait{0};
     std::function<void(Result<ObjectPage>)> done;
   };
-  void List(ObjectKind, const std::string& after,
+  void List(ObjectKind, const std::string& after, ReadAge,
             std::function<void(Result<ObjectPage>)> done) override {
-    calls.push_back({false, after, {}, std::move(done)});
+    calls.push_back({false, after, {}, Millis{0}, std::move(done)});
   }
-  void Watch(ObjectKind, Revision after, Millis,
+  void Watch(ObjectKind, Revision after, Millis wait,
              std::function<void(Result<ObjectPage>)> done) override {
-    calls.push_back({true, "", after, std::move(done)});
+    calls.push_back({true, "", after, wait, std::move(done)});
   }
   void Create(ObjectKind, const std::string&, const nlohmann::json&,
               std::function<void(Result<Revision>)>) override {}
--- a/test/gateway-knowledge-test.cc
+++ b/test/gateway-knowledge-test.cc
@@ -108,6 +108,24 @@
   BOOST_TEST(feed.calls.back().revision.Value() == 5U);
 }
 
+// Guards against large fleets that read a long list from its start again and again after a store
+// under load has answered one of its pages too late.
+BOOST_FIXTURE_TEST_CASE(FailedPageIsReadAgainAlone, WatchFixture) {
+  watch.Start();
+  feed.Answer(ObjectPage{{Object("a", 2), Object("b", 3)}, true, Revision(5)});
+  BOOST_TEST(feed.calls.back().after == "b");
+  feed.Answer(Error{ErrorKind::kStoreUncertain, "no reply in time", ""});
+  timers.FireNext();
+  BOOST_TEST(!feed.calls.back().is_watch);
+  BOOST_TEST(feed.calls.back().after == "b");
+  feed.Answer(ObjectPage{{Object("c", 4)}, false, Revision(9)});
+  BOOST_TEST(view.size() == 3U);
+  // Changes since the first page are still found by the watch.
+  timers.FireNext();
+  BOOST_TEST(feed.calls.back().is_watch);
+  BOOST_TEST((feed.calls.back().revision == Revision(5)));
+}
+
 // Guards against an old state that replaces a newer one when answers overlap.
 BOOST_FIXTURE_TEST_CASE(OlderStateIsIgnored, WatchFixture) {
   watch.Start();
@@ -135,7 +153,7 @@
   // An empty reply after the whole wait proves the state at its end, whenever it arrives.
   clock.Advance(Millis{9'000});
   feed.Answer(ObjectPage{{}, false, Revision(5)});
-  BOOST_TEST((proved == sent + WatchOptions{}.wait));
+  BOOST_TEST((proved == sent + feed.calls.back().wait));
   timers.FireNext();
   const BootTime again = clock.Now();
   clock.Advance(Millis{700});
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -10,10 +10,12 @@
 
 /// One instance with its watches.
 struct Node {
-  explicit Node(ManualClock& shared) : clock(shared) {
+  /// @param is_listed false leaves the first lists unanswered
+  explicit Node(ManualClock& shared, bool is_listed = true) : clock(shared) {
     config.Start();
-    AnswerConfig(ObjectPage{{}, false, Revision(10)});
     backends.Start();
+    if (!is_listed) return;
+    AnswerConfig(ObjectPage{{}, false, Revision(10)});
     backends_feed.Answer(ObjectPage{{}, false, Revision(10)});
   }
   void AnswerConfig(Result<ObjectPage> page) { config_feed.Answer(std::move(page)); }
@@ -76,6 +78,30 @@
   BOOST_TEST(!coordinator.config.IsSuspended());
 }
 
+// Guards against changes that a follower never hears of: those that a coordinator which is still
+// starting finds in its first list are not announced, so a follower must not rely on it before.
+BOOST_FIXTURE_TEST_CASE(CoordinatorWithoutAViewIsNotReliedOn, Fixture) {
+  Node starting{clock, false};
+  const auto probe = [&] {
+    const ProbeMessage message = follower.relay.MakeProbe();
+    follower.relay.OnConfirm(starting.relay.AnswerProbe(message));
+  };
+  starting.relay.SetFollowing(false);
+  follower.relay.SetFollowing(true);
+  probe();
+  BOOST_TEST(!follower.config.IsSuspended());
+  BOOST_TEST(!starting.config.HasView());
+  starting.AnswerConfig(ObjectPage{{ConfigAt(15)}, false, Revision(15)});
+  BOOST_TEST(starting.config.HasView());
+  probe();
+  BOOST_TEST(!follower.config.IsSuspended());
+  follower.config_timers.FireNext();
+  follower.AnswerConfig(ObjectPage{{ConfigAt(15)}, false, Revision(15)});
+  BOOST_TEST(follower.seen["main"] == 15U);
+  probe();
+  BOOST_TEST(follower.config.IsSuspended());
+}
+
 // Guards against a proof that looks younger than it is because a frame was delayed on its way: by
 // the time it arrives the configuration may have been replaced.
 BOOST_FIXTURE_TEST_CASE(DelayedProofIsOld, Fixture) {
@@ -126,6 +152,42 @@
   BOOST_TEST((follower.proved == proved));
 }
 
+// Guards against calls that each start of an instance costs: one that finds a coordinator soon
+// after its first lists has no need to wait for changes at the store.
+BOOST_FIXTURE_TEST_CASE(FollowerListsOnlyOnce, Fixture) {
+  follower.relay.SetFollowing(true);
+  Probe(Millis{1}, Millis{1});
+  follower.config_timers.FireNext();
+  follower.backends_timers.FireNext();
+  BOOST_TEST(follower.config_feed.calls.size() == 1U);
+  BOOST_TEST(follower.backends_feed.calls.size() == 1U);
+  // It calls again once the proofs are missing.
+  clock.Advance(Millis{2'000});
+  follower.relay.Update();
+  follower.config_timers.FireNext();
+  BOOST_TEST(follower.config_feed.calls.size() == 2U);
+}
+
+// Guards against outages of the store in which each instance goes on calling it at the rate of the
+// coordinator, which is the one to find that it answers again.
+BOOST_FIXTURE_TEST_CASE(FollowersSearchForTheStoreSlowly, Fixture) {
+  const auto calls_in = [&](Node& node, Millis span) {
+    const std::size_t before = node.config_feed.calls.size();
+    Millis passed{0};
+    while (passed < span) {
+      passed += node.config_timers.FireNext().value_or(span);
+      node.AnswerConfig(Error{ErrorKind::kStoreUnavailable, "", ""});
+    }
+    return node.config_feed.calls.size() - before;
+  };
+  coordinator.relay.SetFollowing(false);
+  follower.relay.SetFollowing(true);
+  clock.Advance(Millis{5'000});
+  const Millis outage{10'000};
+  BOOST_TEST(calls_in(coordinator, outage) >= 20U);
+  BOOST_TEST(calls_in(follower, outage) <= 11U);
+}
+
 // Guards against proofs of a coordinator that is followed no longer.
 BOOST_FIXTURE_TEST_CASE(FormerCoordinatorProvesNothing, Fixture) {
   follower.relay.SetFollowing(true);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -2,8 +2,11 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "kernel/http1-server.h"
+#include "kernel/loop.h"
 #include "platform/protocol.h"
 #include "platform/settings-file.h"
+#include "platform/store.h"
 
 namespace bluebellpass::platform {
 namespace {
@@ -242,4 +245,38 @@
   BOOST_TEST(!IsOk(ParseSettings("just text")));
 }
 
+// Guards against a long list that is given up and asked for again while its bytes are arriving: under
+// load that multiplies the load.
+BOOST_AUTO_TEST_CASE(ListThatArrivesSlowlyIsRead) {
+  Loop loop;
+  std::shared_ptr<HttpExchange> exchange;
+  Http1Server server(loop, {}, [&](std::shared_ptr<HttpExchange> call) {
+    exchange = std::move(call);
+    exchange->Start(200, {});
+  });
+  PlatformStore store(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})));
+  std::optional<Result<gateway::ObjectPage>> result;
+  store.List(gateway::ObjectKind::kBackends, "", gateway::ReadAge::kCurrent,
+             [&](Result<gateway::ObjectPage> page) { result = std::move(page); });
+  const std::string body = R"({"items":[],"has_more":false,"current_rev":3})";
+  // Longer in total than the bound on silence.
+  constexpr Millis kStep{400};
+  constexpr std::size_t kParts = 4;
+  const auto run = [&](Millis span) {
+    const TimePoint end = std::chrono::steady_clock::now() + span;
+    while (!result && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
+  };
+  while (!exchange) loop.RunOnce(Millis{5});
+  const std::size_t part = body.size() / kParts + 1;
+  for (std::size_t at = 0; at < body.size(); at += part) {
+    run(kStep);
+    exchange->Write(body.substr(at, part));
+  }
+  exchange->End();
+  run(Millis{2'000});
+  BOOST_REQUIRE(result.has_value());
+  BOOST_REQUIRE(IsOk(*result));
+  BOOST_TEST((std::get<gateway::ObjectPage>(*result).revision == gateway::Revision(3)));
+}
+
 }  // namespace bluebellpass::platform
