Relay configurations to large fleets as differences

Change: the coordinator sends a change whole while that takes at most 128 KB of its link in total, or else as a JSON Patch to the state before; what is larger is announced as before. A follower that has read a change waits for the next proof before it calls again. The tests of large fleets use a configuration that is too large to be sent whole, since the bound is in bytes now.

--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -86,7 +86,7 @@
   Item operator()(const ObjectMessage& m) {
     return {wire::Item_Object,
             wire::CreateObject(m_builder, static_cast<std::uint8_t>(m.kind), Put(m.name),
-                               m.revision, m.is_deleted, Put(m.spec))
+                               m.revision, m.is_deleted, Put(m.spec), Put(m.patch), m.base_revision)
                 .Union()};
   }
 
@@ -214,6 +214,8 @@
     message.revision = t.revision();
     message.is_deleted = t.is_deleted();
     message.spec = Text(t.spec());
+    message.patch = Text(t.patch());
+    message.base_revision = t.base_revision();
     return message;
   }
   Work Get(const wire::WorkT* t) {
--- a/src/gateway/fleet-codec.h
+++ b/src/gateway/fleet-codec.h
@@ -87,7 +87,9 @@
   std::string name;
   std::uint64_t revision = 0;
   bool is_deleted = false;
-  std::string spec;  ///< JSON; empty when the receiver must read the store itself
+  std::string spec;   ///< JSON; without it and a patch the receiver must read the store itself
+  std::string patch;  ///< JSON Patch (RFC 6902) to the state of the base revision
+  std::uint64_t base_revision = 0;
 };
 
 using FleetMessage =
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -425,7 +425,7 @@
 
 void Fleet::AnnounceObject(ObjectKind kind, const StoredObject& object) {
   if (m_homes.empty()) return;
-  const ObjectMessage message = Relay::Announce(kind, object, m_homes.size());
+  const ObjectMessage message = m_relay->Announce(kind, object, m_homes.size());
   for (auto& [id, peer] : m_homes) Queue(peer, message);
 }
 
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -1393,7 +1393,9 @@
     VT_NAME = 6,
     VT_REVISION = 8,
     VT_IS_DELETED = 10,
-    VT_SPEC = 12
+    VT_SPEC = 12,
+    VT_PATCH = 14,
+    VT_BASE_REVISION = 16
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1410,6 +1412,12 @@
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
   }
+  const flatbuffers::String *patch() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATCH);
+  }
+  uint64_t base_revision() const {
+    return GetField<uint64_t>(VT_BASE_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1419,6 +1427,9 @@
            VerifyField<uint8_t>(verifier, VT_IS_DELETED, 1) &&
            VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyString(spec()) &&
+           VerifyOffset(verifier, VT_PATCH) &&
+           verifier.VerifyString(patch()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1442,6 +1453,12 @@
   void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
     fbb_.AddOffset(Object::VT_SPEC, spec);
   }
+  void add_patch(flatbuffers::Offset<flatbuffers::String> patch) {
+    fbb_.AddOffset(Object::VT_PATCH, patch);
+  }
+  void add_base_revision(uint64_t base_revision) {
+    fbb_.AddElement<uint64_t>(Object::VT_BASE_REVISION, base_revision, 0);
+  }
   explicit ObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1459,9 +1476,13 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t revision = 0,
     bool is_deleted = false,
-    flatbuffers::Offset<flatbuffers::String> spec = 0) {
+    flatbuffers::Offset<flatbuffers::String> spec = 0,
+    flatbuffers::Offset<flatbuffers::String> patch = 0,
+    uint64_t base_revision = 0) {
   ObjectBuilder builder_(_fbb);
+  builder_.add_base_revision(base_revision);
   builder_.add_revision(revision);
+  builder_.add_patch(patch);
   builder_.add_spec(spec);
   builder_.add_name(name);
   builder_.add_is_deleted(is_deleted);
@@ -1475,16 +1496,21 @@
     const char *name = nullptr,
     uint64_t revision = 0,
     bool is_deleted = false,
-    const char *spec = nullptr) {
+    const char *spec = nullptr,
+    const char *patch = nullptr,
+    uint64_t base_revision = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
+  auto patch__ = patch ? _fbb.CreateString(patch) : 0;
   return bluebellpass::gateway::wire::CreateObject(
       _fbb,
       kind,
       name__,
       revision,
       is_deleted,
-      spec__);
+      spec__,
+      patch__,
+      base_revision);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -208,6 +208,7 @@
   ObjectWatch::Events config;
   config.on_object = [this](const StoredObject& object) {
     if (m_config_watch->HasView()) m_fleet.AnnounceObject(ObjectKind::kConfig, object);
+    m_relay->Remember(object);
     OnConfigObject(object);
   };
   config.on_current = [this](BootTime at) { m_knowledge.ConfirmConfig(at); };
--- a/src/gateway/object-watch.h
+++ b/src/gateway/object-watch.h
@@ -23,8 +23,8 @@
   Millis largest_backoff{400};
   /// Pause between a change and the next call, so that quick successions cost fewer calls.
   Millis settle{60};
-  /// Pause between the first list and the first wait: an instance that finds a coordinator meanwhile
-  /// makes no further call. The wait is shorter by as much.
+  /// Pause between the first list and the first wait: an instance that finds a coordinator
+  /// meanwhile makes no further call. The wait is shorter by as much.
   Millis first_pause{300};
 };
 
@@ -54,6 +54,8 @@
   bool IsSuspended() const { return m_is_suspended; }
   /// Changes the longest wait of a call, from the next one on.
   void SetWait(Millis wait) { m_options.wait = wait; }
+  /// Changes the pause between a change and the next call.
+  void SetSettle(Millis pause) { m_options.settle = pause; }
   /// Changes the largest pause after failures.
   void SetLargestBackoff(Millis pause) { m_options.largest_backoff = pause; }
   /// Takes in a change that another instance has read from the store.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -18,9 +18,14 @@
 // Older proofs end the reliance on the coordinator. Above the wait of its calls, and low enough for
 // a change to be read from the store within the platform's bound of two seconds.
 constexpr Millis kLongestProofAge{1'200};
-// Up to this many instances, configurations are sent whole. Larger fleets read them from the store,
-// since a coordinator with a slow link could not send them all in time.
-constexpr std::size_t kMostWholeCopies = 16;
+// Most bytes that a change of the configuration may take on the coordinator's link, in total: 0.1 s
+// at 10 Mbit/s, in which grants wait behind it. It is sent whole if that fits, or else as a
+// difference; what is larger is read from the store by each instance.
+constexpr std::size_t kMostBytesPerChange = 128U << 10U;
+// Pauses after a change that was read from the store. A follower waits for the coordinator's next
+// proof, which mostly makes a further call needless.
+constexpr Millis kSourceSettle{60};
+constexpr Millis kFollowerSettle{350};
 
 }  // namespace
 
@@ -33,6 +38,7 @@
     channel->start.reset();
     channel->watch->SetWait(is_remote ? kOwnWait : kSourceWait);
   }
+  m_config.watch->SetSettle(is_remote ? kFollowerSettle : kSourceSettle);
   m_config.watch->SetLargestBackoff(is_remote ? kFollowerSearch : kSourceSearch);
   Update();
 }
@@ -60,17 +66,39 @@
   return confirm;
 }
 
-ObjectMessage Relay::Announce(ObjectKind kind, const StoredObject& object, std::size_t instances) {
+ObjectMessage Relay::Announce(ObjectKind kind, const StoredObject& object,
+                              std::size_t instances) const {
   ObjectMessage message;
   message.kind = kind;
   message.name = object.name;
   message.revision = object.revision.Value();
   message.is_deleted = object.is_deleted;
-  const bool is_whole = kind != ObjectKind::kConfig || instances <= kMostWholeCopies;
-  if (object.spec && !object.is_deleted && is_whole) message.spec = object.spec->dump();
+  if (!object.spec || object.is_deleted) return message;
+  const auto fits = [&](const std::string& text) {
+    return text.size() * instances <= kMostBytesPerChange;
+  };
+  std::string whole = object.spec->dump();
+  if (kind != ObjectKind::kConfig || fits(whole)) {
+    message.spec = std::move(whole);
+    return message;
+  }
+  const auto base = m_configs.find(object.name);
+  if (base == m_configs.end()) return message;
+  std::string patch = nlohmann::json::diff(*base->second.spec, *object.spec).dump();
+  if (!fits(patch)) return message;
+  message.patch = std::move(patch);
+  message.base_revision = base->second.revision.Value();
   return message;
 }
 
+void Relay::Remember(const StoredObject& config) {
+  if (config.spec && !config.is_deleted) {
+    m_configs[config.name] = config;
+  } else {
+    m_configs.erase(config.name);
+  }
+}
+
 ProbeMessage Relay::MakeProbe() const { return {m_clock.Now().since_boot.count(), HasStore()}; }
 
 bool Relay::HasStore() const {
@@ -101,30 +129,41 @@
   return kind == ObjectKind::kBackends ? &m_backends : nullptr;
 }
 
-void Relay::OnObject(const ObjectMessage& message) {
-  Channel* channel = Find(message.kind);
-  if (channel == nullptr || !m_is_remote) return;
-  if (!message.is_deleted && message.spec.empty()) {
-    // Only announced: this instance reads the store until it has seen the change.
-    if (channel->start) channel->start = std::max(*channel->start, Revision(message.revision));
-    return Update();
-  }
+std::optional<StoredObject> Relay::Restore(const ObjectMessage& message) const {
   StoredObject object;
   object.name = message.name;
   object.revision = Revision(message.revision);
   object.is_deleted = message.is_deleted;
-  if (!message.spec.empty()) {
-    auto spec = nlohmann::json::parse(message.spec, nullptr, false);
-    if (spec.is_discarded()) {
-      LogEvent(EventId::kObjectRejected,
-               {{"object", message.name}, {"reason", "the relayed object cannot be read"}});
-      // The store has it whole.
-      if (channel->start) channel->start = std::max(*channel->start, object.revision);
-      return Update();
+  if (message.is_deleted) return object;
+  const bool is_whole = !message.spec.empty();
+  if (!is_whole && message.patch.empty()) return std::nullopt;
+  auto spec = nlohmann::json::parse(is_whole ? message.spec : message.patch, nullptr, false);
+  if (!is_whole && !spec.is_discarded()) {
+    const auto base = m_configs.find(message.name);
+    if (base == m_configs.end() || base->second.revision != Revision(message.base_revision))
+      return std::nullopt;
+    try {
+      spec = base->second.spec->patch(spec);
+    } catch (const nlohmann::json::exception&) {
+      spec = nlohmann::json(nlohmann::json::value_t::discarded);
     }
-    object.spec = std::make_shared<const nlohmann::json>(std::move(spec));
   }
-  channel->watch->Take(object);
+  if (spec.is_discarded()) {
+    LogEvent(EventId::kObjectRejected,
+             {{"object", message.name}, {"reason", "the relayed object cannot be read"}});
+    return std::nullopt;
+  }
+  object.spec = std::make_shared<const nlohmann::json>(std::move(spec));
+  return object;
+}
+
+void Relay::OnObject(const ObjectMessage& message) {
+  Channel* channel = Find(message.kind);
+  if (channel == nullptr || !m_is_remote) return;
+  if (const auto object = Restore(message)) return channel->watch->Take(*object);
+  // This instance reads the store until it has seen the change.
+  if (channel->start) channel->start = std::max(*channel->start, Revision(message.revision));
+  Update();
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cstddef>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "boot-clock.h"
 #include "fleet-codec.h"
@@ -28,7 +30,10 @@
   ConfirmMessage AnswerProbe(const ProbeMessage& probe) const;
   /// @param instances number of instances that will get the message
   /// @return what to tell the others of a change
-  static ObjectMessage Announce(ObjectKind kind, const StoredObject& object, std::size_t instances);
+  ObjectMessage Announce(ObjectKind kind, const StoredObject& object, std::size_t instances) const;
+  /// Keeps a configuration, to which the next one is compared. To be called for each, after it was
+  /// announced.
+  void Remember(const StoredObject& config);
 
   // As an instance that follows.
   ProbeMessage MakeProbe() const;
@@ -46,12 +51,15 @@
     std::optional<Revision> start;
   };
   Channel* Find(ObjectKind kind);
+  /// @return the object that the message stands for, or nullopt when it must be read from the store
+  std::optional<StoredObject> Restore(const ObjectMessage& message) const;
   void ConfirmChannel(Channel& channel, Revision revision, BootTime at);
   static bool IsSynced(const Channel& channel);
 
   const BootClock& m_clock;
   Channel m_config;
   Channel m_backends;
+  std::map<std::string, StoredObject> m_configs;  ///< the last state of each
   bool m_is_remote = false;
 };
 
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -54,7 +54,7 @@
           ViewMessage{{record}},
           ProbeMessage{123'456, true},
           ConfirmMessage{123'456, 9, Millis{40}, 11, Millis{50}},
-          ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}"}};
+          ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}", "[]", 11}};
 }
 
 }  // namespace
@@ -97,6 +97,8 @@
   BOOST_TEST(std::get<ProbeMessage>(messages[9]).has_store);
   BOOST_TEST((std::get<ConfirmMessage>(messages[10]).backends_age == Millis{50}));
   BOOST_TEST(std::get<ObjectMessage>(messages[11]).spec == "{}");
+  BOOST_TEST(std::get<ObjectMessage>(messages[11]).patch == "[]");
+  BOOST_TEST(std::get<ObjectMessage>(messages[11]).base_revision == 11U);
 }
 
 // Guards against crashes and reads out of bounds on payloads of a faulty sender.
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -26,15 +26,18 @@
   ManualTimers config_timers;
   ManualTimers backends_timers;
   std::map<std::string, std::uint64_t> seen;
+  nlohmann::json spec;
   std::optional<BootTime> proved;
-  ObjectWatch config{
-      config_feed,
-      config_timers,
-      clock,
-      ObjectKind::kConfig,
-      WatchOptions{},
-      {[this](const StoredObject& object) { seen[object.name] = object.revision.Value(); }, nullptr,
-       [this](BootTime at) { proved = at; }, nullptr}};
+  ObjectWatch config{config_feed,
+                     config_timers,
+                     clock,
+                     ObjectKind::kConfig,
+                     WatchOptions{},
+                     {[this](const StoredObject& object) {
+                        seen[object.name] = object.revision.Value();
+                        if (object.spec) spec = *object.spec;
+                      },
+                      nullptr, [this](BootTime at) { proved = at; }, nullptr}};
   ObjectWatch backends{backends_feed,  backends_timers,
                        clock,          ObjectKind::kBackends,
                        WatchOptions{}, {[](const StoredObject&) {}, nullptr, nullptr, nullptr}};
@@ -61,6 +64,13 @@
           std::make_shared<const nlohmann::json>(nlohmann::json{{"version", revision}})};
 }
 
+/// A configuration too large to be sent whole to a hundred instances.
+StoredObject LargeConfigAt(std::uint64_t revision) {
+  return {"main", Revision(revision), false,
+          std::make_shared<const nlohmann::json>(
+              nlohmann::json{{"version", revision}, {"routes", std::string(12'000, 'r')}})};
+}
+
 }  // namespace
 
 // Guards against a follower that goes on calling the store, or stops before it has seen all.
@@ -130,10 +140,10 @@
 BOOST_FIXTURE_TEST_CASE(ChangesAreTakenOver, Fixture) {
   follower.relay.SetFollowing(true);
   Probe(Millis{1}, Millis{1});
-  follower.relay.OnObject(Relay::Announce(ObjectKind::kConfig, ConfigAt(20), 8));
+  follower.relay.OnObject(coordinator.relay.Announce(ObjectKind::kConfig, ConfigAt(20), 8));
   BOOST_TEST(follower.seen["main"] == 20U);
   // An older announcement that comes late changes nothing.
-  follower.relay.OnObject(Relay::Announce(ObjectKind::kConfig, ConfigAt(19), 8));
+  follower.relay.OnObject(coordinator.relay.Announce(ObjectKind::kConfig, ConfigAt(19), 8));
   BOOST_TEST(follower.seen["main"] == 20U);
 }
 
@@ -143,7 +153,8 @@
   follower.relay.SetFollowing(true);
   Probe(Millis{1}, Millis{1});
   BOOST_TEST(follower.config.IsSuspended());
-  const ObjectMessage message = Relay::Announce(ObjectKind::kConfig, ConfigAt(20), 90);
+  const ObjectMessage message =
+      coordinator.relay.Announce(ObjectKind::kConfig, LargeConfigAt(20), 90);
   BOOST_TEST(message.spec.empty());
   follower.relay.OnObject(message);
   BOOST_TEST(!follower.config.IsSuspended());
@@ -188,6 +199,51 @@
   BOOST_TEST(calls_in(follower, outage) <= 11U);
 }
 
+// Guards against a call of each instance of a large fleet for each change of the configuration.
+BOOST_FIXTURE_TEST_CASE(LargeFleetsAreSentTheDifference, Fixture) {
+  const StoredObject before = LargeConfigAt(15);
+  coordinator.relay.Remember(before);
+  follower.relay.Remember(before);
+  follower.relay.SetFollowing(true);
+  Probe(Millis{1}, Millis{1});
+  const ObjectMessage message =
+      coordinator.relay.Announce(ObjectKind::kConfig, LargeConfigAt(20), 90);
+  BOOST_TEST(message.spec.empty());
+  follower.relay.OnObject(message);
+  BOOST_TEST(follower.seen["main"] == 20U);
+  BOOST_TEST(follower.spec == *LargeConfigAt(20).spec);
+  BOOST_TEST(follower.config.IsSuspended());
+}
+
+// Guards against a difference that is applied to another state than it was made from, and against
+// one that cannot be applied: both must be read from the store.
+BOOST_FIXTURE_TEST_CASE(UnfitDifferenceIsReadFromTheStore, Fixture) {
+  coordinator.relay.Remember(LargeConfigAt(15));
+  follower.relay.Remember(LargeConfigAt(14));
+  follower.relay.SetFollowing(true);
+  Probe(Millis{1}, Millis{1});
+  ObjectMessage message = coordinator.relay.Announce(ObjectKind::kConfig, LargeConfigAt(20), 90);
+  follower.relay.OnObject(message);
+  BOOST_TEST(follower.seen["main"] == 0U);
+  BOOST_TEST(!follower.config.IsSuspended());
+  follower.relay.Remember(LargeConfigAt(15));
+  message.patch = R"([{"op":"remove","path":"/absent"}])";
+  follower.relay.OnObject(message);
+  BOOST_TEST(follower.seen["main"] == 0U);
+  BOOST_TEST(!follower.config.IsSuspended());
+}
+
+// Guards against a large change that fills a slow link.
+BOOST_FIXTURE_TEST_CASE(LargeDifferenceIsOnlyAnnounced, Fixture) {
+  coordinator.relay.Remember(ConfigAt(15));
+  StoredObject large = ConfigAt(20);
+  large.spec = std::make_shared<const nlohmann::json>(
+      nlohmann::json{{"version", 20}, {"routes", std::string(10'000, 'r')}});
+  const ObjectMessage message = coordinator.relay.Announce(ObjectKind::kConfig, large, 90);
+  BOOST_TEST(message.spec.empty());
+  BOOST_TEST(message.patch.empty());
+}
+
 // Guards against proofs of a coordinator that is followed no longer.
 BOOST_FIXTURE_TEST_CASE(FormerCoordinatorProvesNothing, Fixture) {
   follower.relay.SetFollowing(true);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -245,8 +245,8 @@
   BOOST_TEST(!IsOk(ParseSettings("just text")));
 }
 
-// Guards against a long list that is given up and asked for again while its bytes are arriving: under
-// load that multiplies the load.
+// Guards against a long list that is given up and asked for again while its bytes are arriving:
+// under load that multiplies the load.
 BOOST_AUTO_TEST_CASE(ListThatArrivesSlowlyIsRead) {
   Loop loop;
   std::shared_ptr<HttpExchange> exchange;
@@ -260,16 +260,16 @@
              [&](Result<gateway::ObjectPage> page) { result = std::move(page); });
   const std::string body = R"({"items":[],"has_more":false,"current_rev":3})";
   // Longer in total than the bound on silence.
-  constexpr Millis kStep{400};
-  constexpr std::size_t kParts = 4;
+  const Millis pause{400};
+  const std::size_t parts = 4;
   const auto run = [&](Millis span) {
     const TimePoint end = std::chrono::steady_clock::now() + span;
     while (!result && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
   };
   while (!exchange) loop.RunOnce(Millis{5});
-  const std::size_t part = body.size() / kParts + 1;
+  const std::size_t part = body.size() / parts + 1;
   for (std::size_t at = 0; at < body.size(); at += part) {
-    run(kStep);
+    run(pause);
     exchange->Write(body.substr(at, part));
   }
   exchange->End();
