--- a/src/gateway/fleet-codec.h
+++ b/src/gateway/fleet-codec.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,11 @@
   bool is_gone = false;      ///< it has been away for long and is forgotten
 };
 
+/// Coordinators are chosen in this order.
+inline auto OrderOf(const FleetRecord& record) {
+  return std::tuple(record.is_detached, record.registered, record.id);
+}
+
 // Instance to coordinator.
 struct SubmitMessage {
   Work work;
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -1,9 +1,9 @@
 #include "fleet.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "bluebellpass/event.h"
+#include "decision-log.h"
 #include "kernel/h2o.h"
 #include "kernel/loop.h"
 #include "kernel/tcp-stream.h"
@@ -26,11 +26,6 @@
 // An instance that was away for this long does not come back under its registration.
 constexpr Millis kForgetAfter{20'000};
 
-/// Coordinators are chosen in this order.
-auto OrderOf(const FleetRecord& record) {
-  return std::tuple(record.is_detached, record.registered, record.id);
-}
-
 }  // namespace
 
 Fleet::Fleet(Loop& loop, FleetOptions options, Coordinator& coordinator, Events events)
@@ -124,30 +119,6 @@
   return addresses;
 }
 
-void Fleet::LogDecisions(const Decisions& decisions) {
-  const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
-  for (const Grant& grant : decisions.grants) {
-    LogEvent(EventId::kWorkGranted,
-             {{"request", grant.id.Text()},
-              {"home", grant.home.Text()},
-              {"backend", grant.backend.Text()},
-              {"running", number(m_coordinator.Queue().RunningOn(grant.backend))},
-              {"waited_ms", number(grant.inputs.wait_ms)},
-              {"waiting", number(grant.inputs.waiting)},
-              {"free_places", number(grant.inputs.free_places)}});
-  }
-  for (const Refusal& refusal : decisions.refusals) {
-    LogEvent(EventId::kWorkRefused, {{"request", refusal.id.Text()},
-                                     {"home", refusal.home.Text()},
-                                     {"reason", std::string(NameOf(refusal.reason))},
-                                     {"predicted_wait_ms", number(refusal.inputs.wait_ms)},
-                                     {"waiting", number(refusal.inputs.waiting)},
-                                     {"places", number(refusal.inputs.places)},
-                                     {"free_places", number(refusal.inputs.free_places)},
-                                     {"retry_after_ms", refusal.retry_after.count()}});
-  }
-}
-
 std::vector<const FleetRecord*> Fleet::Candidates() const {
   std::vector<const FleetRecord*> candidates;
   for (const auto& [id, record] : m_records)
@@ -599,7 +570,7 @@
 void Fleet::Decide() {
   const TimePoint now = m_loop.Now();
   const Decisions decisions = m_coordinator.Decide(now);
-  LogDecisions(decisions);
+  LogDecisions(decisions, m_coordinator.Queue());
   for (const Grant& grant : decisions.grants) {
     if (grant.home == m_options.id) {
       GrantLocally(grant.id, grant.backend);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -132,7 +132,6 @@
   void Broadcast(const FleetRecord& record);
 
   void Decide();
-  void LogDecisions(const Decisions& decisions);
   void GrantLocally(const AttemptId& id, const BackendId& backend);
   void RefuseLocally(const AttemptId& id, RefusalReason reason, Millis retry_after);
 
