Log when work is kept away from a backend server that fails

The limits of the scheduler changed what the coordinator believes of a backend server, and no log line told. backend_limited does, once for each change, with the rates that it rests on.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -82,6 +82,7 @@
   kWorkGranted = 612,
   kWorkRefused = 613,
   kBackendsListed = 614,
+  kBackendLimited = 615,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -18,6 +18,12 @@
                                      {"waiting", number(grant.inputs.waiting)},
                                      {"free_places", number(grant.inputs.free_places)}});
   }
+  for (const LimitChange& change : decisions.limits) {
+    LogEvent(EventId::kBackendLimited, {{"backend", change.backend.Text()},
+                                        {"limit", std::string(NameOf(change.limit))},
+                                        {"failure_percent", number(change.failure_rate * 100)},
+                                        {"mean_percent", number(change.mean_rate * 100)}});
+  }
   for (const Refusal& refusal : decisions.refusals) {
     LogEvent(EventId::kWorkRefused, {{"request", refusal.id.Text()},
                                      {"home", refusal.home.Text()},
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -88,6 +88,18 @@
   return "overloaded";
 }
 
+std::string_view NameOf(FailureLimit limit) {
+  switch (limit) {
+    case FailureLimit::kNone:
+      return "none";
+    case FailureLimit::kOneAtATime:
+      return "one_at_a_time";
+    case FailureLimit::kTrialsOnly:
+      return "trials_only";
+  }
+  return "none";
+}
+
 void Scheduler::SetShare(std::size_t index, std::size_t count) {
   m_share_index = index;
   m_share_count = std::max<std::size_t>(count, 1);
@@ -289,7 +301,7 @@
   std::vector<std::pair<int, double>> places;
   for (const BackendState* entry : present) {
     const BackendState& state = *entry;
-    const bool is_ejected = state.failures.At(now) - capacity.failures > kEjectMargin;
+    const bool is_ejected = LimitOf(state, capacity.failures, now) == FailureLimit::kTrialsOnly;
     // A place for the next trial.
     const int count = is_ejected ? 1 : PlacesOf(state);
     capacity.free_places += std::max(count - state.running, 0);
@@ -354,7 +366,7 @@
         state.running >= PlacesOf(state))
       continue;
     const double excess = state.failures.At(now) - capacity.failures;
-    if (IsKeptOut(state, work, excess, now)) continue;
+    if (IsKeptOut(state, work, LimitOf(state, capacity.failures, now), now)) continue;
     const double penalty_ms = std::max(excess - kFailureMargin, 0.0) * kFailurePenaltyMs;
     if (!state.is_engine) {
       const double load = state.running + penalty_ms;
@@ -382,12 +394,28 @@
   return best;
 }
 
-bool Scheduler::IsKeptOut(const BackendState& state, const Work& work, double excess,
-                          TimePoint now) const {
-  if (excess <= kLimitMargin) return false;
+FailureLimit Scheduler::LimitOf(const BackendState& state, double mean, TimePoint now) {
+  const double excess = state.failures.At(now) - mean;
+  if (excess > kEjectMargin) return FailureLimit::kTrialsOnly;
+  return excess > kLimitMargin ? FailureLimit::kOneAtATime : FailureLimit::kNone;
+}
+
+bool Scheduler::IsKeptOut(const BackendState& state, const Work& work, FailureLimit limit,
+                          TimePoint now) {
+  if (limit == FailureLimit::kNone) return false;
   if (state.running > 0) return true;
   // A trial costs its caller little when the request can be sent elsewhere after a failure.
-  return excess > kEjectMargin && (now < state.next_trial || !work.may_repeat);
+  return limit == FailureLimit::kTrialsOnly && (now < state.next_trial || !work.may_repeat);
+}
+
+void Scheduler::ReportLimits(const ServiceName& service, double mean, TimePoint now,
+                             Decisions& decisions) {
+  for (const BackendId& id : m_by_service.at(service)) {
+    BackendState& state = m_backends.at(id);
+    const FailureLimit limit = LimitOf(state, mean, now);
+    if (std::exchange(state.limit, limit) == limit) continue;
+    decisions.limits.push_back({id, limit, state.failures.At(now), mean});
+  }
 }
 
 void Scheduler::Start(const Work& work, BackendState& state, TimePoint now) {
@@ -419,6 +447,7 @@
              {queue.size(), 0, 0, 0}, decisions);
     return;
   }
+  ReportLimits(service, capacity.failures, now, decisions);
   std::vector<std::pair<double, Waiting*>> order;
   order.reserve(queue.size());
   for (Waiting* waiting : queue) order.emplace_back(ScoreOf(*waiting, capacity, now), waiting);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -83,9 +83,28 @@
   DecisionInputs inputs;
 };
 
+/// How far work is kept away from a backend server that fails more often than the others.
+enum class FailureLimit : std::uint8_t {
+  kNone,
+  kOneAtATime,
+  kTrialsOnly,
+};
+
+/// @return the limit's stable name in logs
+std::string_view NameOf(FailureLimit limit);
+
+/// A backend server's limit has changed.
+struct LimitChange {
+  BackendId backend;
+  FailureLimit limit = FailureLimit::kNone;
+  double failure_rate = 0;
+  double mean_rate = 0;  ///< over the backend servers of the service
+};
+
 struct Decisions {
   std::vector<Grant> grants;
   std::vector<Refusal> refusals;
+  std::vector<LimitChange> limits;
 };
 
 /// Has the last word before waiting work is granted.
@@ -173,7 +192,8 @@
     std::int64_t unread_tokens = 0;    ///< prompts of those
     std::int64_t reserved_tokens = 0;  ///< memory of all runs
     TimePoint avoid_until{};
-    TimePoint next_trial{};  ///< while it is ejected
+    TimePoint next_trial{};  ///< while it gets trials only
+    FailureLimit limit = FailureLimit::kNone;
     FailureRate failures;
   };
   struct Run {
@@ -211,8 +231,12 @@
   bool FitsBeside(const BackendState& state, const Work& work) const;
   BackendState* Choose(const Work& work, const Capacity& capacity, bool is_late, TimePoint now);
   void Start(const Work& work, BackendState& state, TimePoint now);
+  /// @param mean failure rate over the backend servers of the service
+  static FailureLimit LimitOf(const BackendState& state, double mean, TimePoint now);
   /// @return true when a backend server has no place for the work because it fails too often
-  bool IsKeptOut(const BackendState& state, const Work& work, double excess, TimePoint now) const;
+  static bool IsKeptOut(const BackendState& state, const Work& work, FailureLimit limit,
+                        TimePoint now);
+  void ReportLimits(const ServiceName& service, double mean, TimePoint now, Decisions& decisions);
   void Judge(const Run& run, const RunReport& report, TimePoint now);
   void JudgeSilentRuns(TimePoint now);
   void EndReading(Run& run);
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -94,6 +94,8 @@
     EventInfo{kWorkRefused, "work_refused", kInfo, "the coordinator refused a request"},
     EventInfo{kBackendsListed, "backends_listed", kInfo,
               "the first list of backend servers has been read"},
+    EventInfo{kBackendLimited, "backend_limited", kWarning,
+              "work is kept away from a backend server that fails more than the others"},
 };
 
 constexpr std::size_t kMaxRecorded = 20'000;
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -171,6 +171,47 @@
   BOOST_TEST(grants["bad"] < 20);
 }
 
+// Guards against a change of what the coordinator believes of a backend server that no log tells.
+BOOST_FIXTURE_TEST_CASE(LimitsAreReportedOnce, Fixture) {
+  Service desk;
+  desk.name = ServiceName("desk");
+  for (const char* id : {"bad", "good", "other"})
+    scheduler.SetBackend(BackendOf(id, "desk", 10), &desk);
+  std::vector<LimitChange> changes;
+  TimePoint now = kStart;
+  const auto pass = [&](int index) {
+    Work work = WorkOf("w" + std::to_string(index));
+    work.service = ServiceName("desk");
+    // Only the failing one is free of the others.
+    if (index < 8) work.excluded = {BackendId("good"), BackendId("other")};
+    work.may_repeat = true;
+    work.arrived = now;
+    work.deadline = now + Millis{15'000};
+    scheduler.Add(work);
+    Granted(now);
+    changes.insert(changes.end(), last.limits.begin(), last.limits.end());
+    for (const Grant& grant : last.grants) {
+      RunReport report;
+      report.outcome = grant.backend.Text() == "bad" ? RunOutcome::kFailed : RunOutcome::kCompleted;
+      scheduler.Release(grant.id, report, now);
+    }
+    scheduler.Remove(work.id);
+  };
+  for (int i = 0; i < 8; ++i) {
+    pass(i);
+    now += Millis{100};
+  }
+  BOOST_REQUIRE(!changes.empty());
+  BOOST_TEST(changes.size() <= 2U);
+  BOOST_TEST(changes.back().backend.Text() == "bad");
+  BOOST_TEST((changes.back().limit != FailureLimit::kNone));
+  BOOST_TEST(changes.back().failure_rate > changes.back().mean_rate);
+  // It is forgotten when nothing has failed for long.
+  now += Millis{30'000};
+  pass(8);
+  BOOST_TEST((changes.back().limit == FailureLimit::kNone));
+}
+
 // Guards against places that stay taken after an instance is gone, and against a run that is
 // counted twice when it is reported to a new coordinator.
 BOOST_FIXTURE_TEST_CASE(RunsOfALostInstanceAreForgotten, Fixture) {
