--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -58,21 +58,33 @@
     return condition();
   }
 
-  /// @return the status of a booking, or 0 when its connection ended without an answer
-  int Book(const std::string& id) {
+  /// A booking that a caller has sent.
+  struct Booking {
+    std::unique_ptr<PoolCall> call;
     int status = 0;
     std::optional<CallEnd> end;
+  };
+
+  std::unique_ptr<Booking> Send(const std::string& id, bool on_new_connection = false) {
+    auto booking = std::make_unique<Booking>();
+    Booking& state = *booking;
     PoolCallEvents events;
-    events.on_head = [&](const HttpHead& head) {
-      status = head.status;
+    events.on_head = [&state](const HttpHead& head) {
+      state.status = head.status;
       return true;
     };
-    events.on_end = [&](CallEnd how) { end = how; };
+    events.on_end = [&state](CallEnd how) { state.end = how; };
     const std::string text = SerializeRequest(
         "POST", "/book/x", {{"Host", "stop.test"}, {names::kAttempt, id}, {"Content-Length", "2"}});
-    const auto call = pool.Start(gateway, text + "ok", std::move(events));
-    RunUntil([&] { return end.has_value(); }, Millis{5'000});
-    return end == CallEnd::kComplete ? status : 0;
+    state.call = pool.Start(gateway, text + "ok", std::move(events), on_new_connection);
+    return booking;
+  }
+
+  /// @return the status of a booking, or 0 when its connection ended without an answer
+  int Book(const std::string& id) {
+    const auto booking = Send(id);
+    RunUntil([&] { return booking->end.has_value(); }, Millis{5'000});
+    return booking->end == CallEnd::kComplete ? booking->status : 0;
   }
 
   void WaitForService() {
@@ -95,25 +107,11 @@
                probe->IsConnected();
       },
       kStartLimit));
-  int status = 0;
-  std::optional<CallEnd> end;
-  PoolCallEvents events;
-  events.on_head = [&](const HttpHead& head) {
-    status = head.status;
-    return true;
-  };
-  events.on_end = [&](CallEnd how) { end = how; };
-  const auto call =
-      pool.Start(gateway,
-                 SerializeRequest(
-                     "POST", "/book/x",
-                     {{"Host", "stop.test"}, {names::kAttempt, "early"}, {"Content-Length", "2"}}) +
-                     "ok",
-                 std::move(events), true);
+  const auto early = Send("early", true);
   RunUntil([] { return false; }, Millis{50});
   store.SetFault(StoreStandin::Fault::kNone);
-  BOOST_TEST(RunUntil([&] { return end.has_value(); }, Millis{5'000}));
-  BOOST_TEST(status == 200);
+  BOOST_TEST(RunUntil([&] { return early->end.has_value(); }, Millis{5'000}));
+  BOOST_TEST(early->status == 200);
 }
 
 // Guards against a request that a stopping process takes on a kept connection and cannot finish:
@@ -122,21 +120,7 @@
   WaitForService();
   // A booking that lasts keeps the process from ending early.
   engine.SetWork(kLongWork);
-  std::optional<CallEnd> long_end;
-  int long_status = 0;
-  PoolCallEvents events;
-  events.on_head = [&](const HttpHead& head) {
-    long_status = head.status;
-    return true;
-  };
-  events.on_end = [&](CallEnd how) { long_end = how; };
-  const auto long_call =
-      pool.Start(gateway,
-                 SerializeRequest(
-                     "POST", "/book/x",
-                     {{"Host", "stop.test"}, {names::kAttempt, "long"}, {"Content-Length", "2"}}) +
-                     "ok",
-                 std::move(events), true);
+  const auto lasting = Send("long", true);
   const std::size_t begun = runs.size();
   BOOST_REQUIRE(RunUntil([&] { return runs.size() > begun; }, Millis{2'000}));
   engine.SetWork(Millis{25});
@@ -157,9 +141,9 @@
   BOOST_TEST(received.starts_with("HTTP/1.1 503"));
   BOOST_TEST(runs.size() == before);
   // What was taken before is finished.
-  BOOST_REQUIRE(RunUntil([&] { return long_end.has_value(); }, kLongWork + Millis{2'000}));
-  BOOST_TEST((*long_end == CallEnd::kComplete));
-  BOOST_TEST(long_status == 200);
+  BOOST_REQUIRE(RunUntil([&] { return lasting->end.has_value(); }, kLongWork + Millis{2'000}));
+  BOOST_TEST((*lasting->end == CallEnd::kComplete));
+  BOOST_TEST(lasting->status == 200);
   int code = -1;
   BOOST_TEST(RunUntil([&] { return process.HasExited(&code); }, Millis{8'000}));
   BOOST_TEST(code == 0);
