Compute a backend server's failure rate once for each decision on it

The limit was derived from the state and the mean again where the excess was already known, in the innermost loop of the choice. The quota tests make their engine in one function. No change in behaviour; the tests keep their checks.

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -301,7 +301,8 @@
   std::vector<std::pair<int, double>> places;
   for (const BackendState* entry : present) {
     const BackendState& state = *entry;
-    const bool is_ejected = LimitOf(state, capacity.failures, now) == FailureLimit::kTrialsOnly;
+    const bool is_ejected =
+        LimitOf(state.failures.At(now) - capacity.failures) == FailureLimit::kTrialsOnly;
     // A place for the next trial.
     const int count = is_ejected ? 1 : PlacesOf(state);
     capacity.free_places += std::max(count - state.running, 0);
@@ -366,7 +367,7 @@
         state.running >= PlacesOf(state))
       continue;
     const double excess = state.failures.At(now) - capacity.failures;
-    if (IsKeptOut(state, work, LimitOf(state, capacity.failures, now), now)) continue;
+    if (IsKeptOut(state, work, LimitOf(excess), now)) continue;
     const double penalty_ms = std::max(excess - kFailureMargin, 0.0) * kFailurePenaltyMs;
     if (!state.is_engine) {
       const double load = state.running + penalty_ms;
@@ -394,8 +395,7 @@
   return best;
 }
 
-FailureLimit Scheduler::LimitOf(const BackendState& state, double mean, TimePoint now) {
-  const double excess = state.failures.At(now) - mean;
+FailureLimit Scheduler::LimitOf(double excess) {
   if (excess > kEjectMargin) return FailureLimit::kTrialsOnly;
   return excess > kLimitMargin ? FailureLimit::kOneAtATime : FailureLimit::kNone;
 }
@@ -412,9 +412,10 @@
                              Decisions& decisions) {
   for (const BackendId& id : m_by_service.at(service)) {
     BackendState& state = m_backends.at(id);
-    const FailureLimit limit = LimitOf(state, mean, now);
-    if (std::exchange(state.limit, limit) == limit) continue;
-    decisions.limits.push_back({id, limit, state.failures.At(now), mean});
+    const double rate = state.failures.At(now);
+    const FailureLimit limit = LimitOf(rate - mean);
+    if (std::exchange(state.limit, limit) != limit)
+      decisions.limits.push_back({id, limit, rate, mean});
   }
 }
 
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -231,8 +231,8 @@
   bool FitsBeside(const BackendState& state, const Work& work) const;
   BackendState* Choose(const Work& work, const Capacity& capacity, bool is_late, TimePoint now);
   void Start(const Work& work, BackendState& state, TimePoint now);
-  /// @param mean failure rate over the backend servers of the service
-  static FailureLimit LimitOf(const BackendState& state, double mean, TimePoint now);
+  /// @param excess failure rate above the mean over the backend servers of the service
+  static FailureLimit LimitOf(double excess);
   /// @return true when a backend server has no place for the work because it fails too often
   static bool IsKeptOut(const BackendState& state, const Work& work, FailureLimit limit,
                         TimePoint now);
--- a/test/gateway-quota-test.cc
+++ b/test/gateway-quota-test.cc
@@ -48,6 +48,14 @@
   return config;
 }
 
+Backend EngineWith(int slots) {
+  Backend backend;
+  backend.id = BackendId("b");
+  backend.service = ServiceName("s");
+  backend.slots = slots;
+  return backend;
+}
+
 }  // namespace
 
 // Guards against large requests of an organisation above its quota that are neither started nor
@@ -57,11 +65,7 @@
   coordinator.SetQuotaTolerance({Millis{8'000}, 0, 0});
   const auto table = std::make_shared<const RoutingTable>(ConfigWithOneEngine());
   coordinator.SetTable(table);
-  Backend backend;
-  backend.id = BackendId("b");
-  backend.service = ServiceName("s");
-  backend.slots = 50;
-  coordinator.Queue().SetBackend(backend, table->FindService(ServiceName("s")));
+  coordinator.Queue().SetBackend(EngineWith(50), table->FindService(ServiceName("s")));
   std::map<AttemptId, TimePoint> undecided;
   Millis longest{0};
   const Millis objective{1'000};
@@ -109,11 +113,7 @@
     coordinator.SetQuotaTolerance(kTolerance);
     const auto table = std::make_shared<const RoutingTable>(ConfigWithOneEngine());
     coordinator.SetTable(table);
-    Backend backend;
-    backend.id = BackendId("b");
-    backend.service = ServiceName("s");
-    backend.slots = 4;
-    coordinator.Queue().SetBackend(backend, table->FindService(ServiceName("s")));
+    coordinator.Queue().SetBackend(EngineWith(4), table->FindService(ServiceName("s")));
     std::vector<std::pair<TimePoint, double>> starts;
     std::map<AttemptId, double> costs;
     std::deque<AttemptId> waiting;
