Count and log requests by kind and size

Cause of this change: the logs did not say to which size the coordinator counted a request, how much that size was raised, and what became of the requests of each size.

Change: work_granted and work_refused carry the size and the raise in force; load_by_size and the metric gateway_requests_by_size carry sums by kind, size and result since the start. Decisions are unchanged. LogDecisions becomes a class, since it remembers when the sums were last written.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -83,6 +83,7 @@
   kWorkRefused = 613,
   kBackendsListed = 614,
   kBackendLimited = 615,
+  kLoadBySize = 616,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -2,12 +2,40 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "bluebellpass/event.h"
 
 namespace bluebellpass::gateway {
 
-void LogDecisions(const Decisions& decisions, const Scheduler& queue) {
+namespace {
+
+constexpr Millis kSumsPeriod{1'000};
+
+void WriteSums(const SizeReport& report) {
+  const auto count = [&](std::string_view result) {
+    const auto found = report.counts.find(result);
+    return static_cast<std::int64_t>(found == report.counts.end() ? 0 : found->second);
+  };
+  LogEvent(EventId::kLoadBySize, {{"service", report.service.Text()},
+                                  {"rank", std::int64_t{report.rank}},
+                                  {"objective_ms", std::int64_t{report.objective.count()}},
+                                  {"size", std::string(NameOf(report.size))},
+                                  {"offered", count("offered")},
+                                  {"granted", count("granted")},
+                                  {"overloaded", count(NameOf(RefusalReason::kOverloaded))},
+                                  {"too_late", count(NameOf(RefusalReason::kTooLate))},
+                                  {"no_backend", count(NameOf(RefusalReason::kNoBackend))},
+                                  {"completed", count(NameOf(RunOutcome::kCompleted))},
+                                  {"failed", count(NameOf(RunOutcome::kFailed))},
+                                  {"lost", count(NameOf(RunOutcome::kLost))},
+                                  {"cancelled", count(NameOf(RunOutcome::kCancelled))},
+                                  {"not_run", count(NameOf(RunOutcome::kNotRun))}});
+}
+
+}  // namespace
+
+void DecisionLog::Write(const Decisions& decisions, const Scheduler& queue, TimePoint now) {
   const auto number = [](auto value) { return static_cast<std::int64_t>(value); };
   for (const Grant& grant : decisions.grants) {
     LogEvent(EventId::kWorkGranted, {{"request", grant.id.Text()},
@@ -16,7 +44,9 @@
                                      {"running", number(queue.RunningOn(grant.backend))},
                                      {"waited_ms", number(grant.inputs.wait_ms)},
                                      {"waiting", number(grant.inputs.waiting)},
-                                     {"free_places", number(grant.inputs.free_places)}});
+                                     {"free_places", number(grant.inputs.free_places)},
+                                     {"size", std::string(NameOf(grant.inputs.size))},
+                                     {"raise_percent", number(grant.inputs.raise * 100)}});
   }
   for (const LimitChange& change : decisions.limits) {
     LogEvent(EventId::kBackendLimited, {{"backend", change.backend.Text()},
@@ -32,8 +62,16 @@
                                      {"waiting", number(refusal.inputs.waiting)},
                                      {"places", number(refusal.inputs.places)},
                                      {"free_places", number(refusal.inputs.free_places)},
+                                     {"size", std::string(NameOf(refusal.inputs.size))},
+                                     {"raise_percent", number(refusal.inputs.raise * 100)},
                                      {"retry_after_ms", refusal.retry_after.count()}});
   }
+  if (now < m_next_sums) return;
+  m_next_sums = now + kSumsPeriod;
+  std::vector<SizeReport> sums = queue.SizeReports();
+  for (std::size_t i = 0; i < sums.size(); ++i)
+    if (m_sums.size() != sums.size() || m_sums[i].counts != sums[i].counts) WriteSums(sums[i]);
+  m_sums = std::move(sums);
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "bluebellpass/event.h"
-#include "decision-log.h"
 #include "kernel/h2o.h"
 #include "kernel/loop.h"
 #include "kernel/tcp-stream.h"
@@ -570,7 +569,7 @@
 void Fleet::Decide() {
   const TimePoint now = m_loop.Now();
   const Decisions decisions = m_coordinator.Decide(now);
-  LogDecisions(decisions, m_coordinator.Queue());
+  m_decision_log.Write(decisions, m_coordinator.Queue(), now);
   for (const Grant& grant : decisions.grants) {
     if (grant.home == m_options.id) {
       GrantLocally(grant.id, grant.backend);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -10,6 +10,7 @@
 
 #include "bluebellpass/timer.h"
 #include "coordinator.h"
+#include "decision-log.h"
 #include "dispatcher.h"
 #include "fleet-codec.h"
 #include "peer/link.h"
@@ -138,6 +139,7 @@
   Loop& m_loop;
   FleetOptions m_options;
   Coordinator& m_coordinator;
+  DecisionLog m_decision_log;
   Events m_events;
   Relay* m_relay = nullptr;
   LinkContext m_link_context;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -448,6 +448,15 @@
   m_metrics.Set("gateway_log_dropped_lines", static_cast<double>(m_log_writer->DroppedLines()));
   m_metrics.Set("gateway_waiting", static_cast<double>(m_coordinator.Queue().WaitingCount()));
   m_metrics.Set("gateway_running", static_cast<double>(m_coordinator.Queue().RunningCount()));
+  for (const SizeReport& report : m_coordinator.Queue().SizeReports()) {
+    const std::string kind = "service=\"" + report.service.Text() + "\",rank=\"" +
+                             std::to_string(report.rank) + "\",objective_ms=\"" +
+                             std::to_string(report.objective.count()) + "\",size=\"" +
+                             std::string(NameOf(report.size)) + "\",result=\"";
+    for (const auto& [result, count] : report.counts)
+      m_metrics.Set("gateway_requests_by_size", static_cast<double>(count),
+                    kind + std::string(result) + "\"");
+  }
   m_metrics.Set("gateway_calls", static_cast<double>(m_calls.size()));
   m_metrics.Set("gateway_connections", static_cast<double>(m_callers.ConnectionCount()));
   m_metrics.Set("gateway_config_age_ms", static_cast<double>(m_knowledge.ConfigAge().count()));
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -72,6 +72,22 @@
 
 }  // namespace
 
+std::string_view NameOf(RunOutcome outcome) {
+  switch (outcome) {
+    case RunOutcome::kNotRun:
+      return "not_run";
+    case RunOutcome::kCompleted:
+      return "completed";
+    case RunOutcome::kFailed:
+      return "failed";
+    case RunOutcome::kLost:
+      return "lost";
+    case RunOutcome::kCancelled:
+      return "cancelled";
+  }
+  return "not_run";
+}
+
 std::string_view NameOf(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kOverloaded:
@@ -235,6 +251,8 @@
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
   Judge(found->second, report, now);
+  if (found->second.balance != nullptr)
+    found->second.balance->Count(found->second.size, NameOf(report.outcome));
   EndReading(found->second);
   const Run run = std::move(found->second);
   m_runs.erase(found);
@@ -270,6 +288,16 @@
   return waiting;
 }
 
+std::vector<SizeReport> Scheduler::SizeReports() const {
+  std::vector<SizeReport> reports;
+  for (const auto& [kind, balance] : m_balances) {
+    const auto& [service, rank, objective] = kind;
+    for (const SizeGroup size : {SizeGroup::kSmall, SizeGroup::kLarge, SizeGroup::kLargest})
+      reports.push_back({service, rank, objective, size, balance.Counts(size)});
+  }
+  return reports;
+}
+
 int Scheduler::RunningOn(const BackendId& id) const {
   const auto found = m_backends.find(id);
   return found == m_backends.end() ? 0 : found->second.running;
@@ -331,6 +359,8 @@
   waiting.cost_ms = CostOf(work, speed);
   waiting.balance = &m_balances[WorkKind{work.service, work.rank, work.objective}];
   waiting.balance->Observe(waiting.cost_ms);
+  waiting.size = waiting.balance->GroupOf(waiting.cost_ms);
+  waiting.balance->Count(waiting.size, "offered");
   const double size = std::min(waiting.cost_ms / waiting.balance->Mean(), kLargestRelativeSize);
   waiting.value = std::pow(kRankWeight, work.rank) * (kFixedValue + (1 - kFixedValue) * size);
 }
@@ -428,11 +458,13 @@
   m_runs.emplace(work.id, Run{work, state.backend.id, true, state.unread_tokens, now});
 }
 
-void Scheduler::Refuse(const Work& work, RefusalReason reason, Millis retry_after,
+void Scheduler::Refuse(const Waiting& waiting, RefusalReason reason, Millis retry_after,
                        const DecisionInputs& inputs, Decisions& decisions) {
+  const Work& work = waiting.work;
+  waiting.balance->Count(waiting.size, NameOf(reason));
   decisions.refusals.push_back({work.id, work.home, reason, retry_after, work.organisation,
                                 work.is_repeat ? 0 : work.quota_cost, inputs});
-  m_waiting.erase(work.id);
+  m_waiting.erase(AttemptId(work.id));
 }
 
 void Scheduler::NoteNext(TimePoint at) {
@@ -444,8 +476,8 @@
   Capacity capacity = Survey(service, now);
   if (!capacity.has_any) {
     for (const Waiting* waiting : queue)
-      Refuse(Work(waiting->work), RefusalReason::kNoBackend, kRetryNoBackend,
-             {queue.size(), 0, 0, 0}, decisions);
+      Refuse(*waiting, RefusalReason::kNoBackend, kRetryNoBackend,
+             {queue.size(), 0, 0, 0, waiting->size, 1}, decisions);
     return;
   }
   ReportLimits(service, capacity.failures, now, decisions);
@@ -465,6 +497,7 @@
     const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
     const double waited_ms = MillisOf(now - work.arrived);
     const bool is_late = waited_ms + first_ms > MillisOf(work.objective);
+    const double raise = waiting->balance->Boost(waiting->cost_ms);
     BackendState* state = capacity.free_places > 0 ? Choose(work, capacity, is_late, now) : nullptr;
     if (state != nullptr && gate.TryStart(work, now)) {
       --capacity.free_places;
@@ -472,8 +505,12 @@
           {work.id,
            work.home,
            state->backend.id,
-           {order.size(), capacity.places, capacity.free_places, waited_ms}});
+           {order.size(), capacity.places, capacity.free_places, waited_ms, waiting->size, raise}});
       Start(work, *state, now);
+      waiting->balance->Count(waiting->size, "granted");
+      Run& run = m_runs.at(work.id);
+      run.balance = waiting->balance;
+      run.size = waiting->size;
       waiting->balance->Note(waiting->cost_ms, true);
       m_waiting.erase(AttemptId(work.id));
       continue;
@@ -485,8 +522,9 @@
     if (is_hopeless || (waiting->is_new && wait_ms > longest_ms)) {
       waiting->balance->Note(waiting->cost_ms, false);
       const Millis wait = std::clamp(ToMillis(wait_ms), kLeastRetryAfter, kLargestRetryAfter);
-      Refuse(Work(work), is_hopeless ? RefusalReason::kTooLate : RefusalReason::kOverloaded,
-             Spread(wait, work.id), {order.size(), capacity.places, capacity.free_places, wait_ms},
+      Refuse(*waiting, is_hopeless ? RefusalReason::kTooLate : RefusalReason::kOverloaded,
+             Spread(wait, work.id),
+             {order.size(), capacity.places, capacity.free_places, wait_ms, waiting->size, raise},
              decisions);
       continue;
     }
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -59,6 +59,8 @@
   int places = 0;           ///< of its backend servers
   int free_places = 0;
   double wait_ms = 0;  ///< predicted wait, or the time waited for a grant
+  SizeGroup size = SizeGroup::kSmall;
+  double raise = 1;  ///< factor on the value, while the size group is behind
 };
 
 struct Grant {
@@ -68,6 +70,9 @@
   DecisionInputs inputs;
 };
 
+/// @return the outcome's stable name in metrics
+std::string_view NameOf(RunOutcome outcome);
+
 enum class RefusalReason : std::uint8_t { kOverloaded, kTooLate, kNoBackend, kQuota, kQuarantined };
 
 /// @return the reason's stable name in logs
@@ -107,6 +112,15 @@
   std::vector<LimitChange> limits;
 };
 
+/// Results of the requests of one kind and size.
+struct SizeReport {
+  ServiceName service;
+  int rank = 0;
+  Millis objective{0};
+  SizeGroup size = SizeGroup::kSmall;
+  SizeCounts counts;
+};
+
 /// Has the last word before waiting work is granted.
 class StartGate {
  public:
@@ -178,6 +192,9 @@
 
   std::size_t WaitingCount() const { return m_waiting.size(); }
   std::size_t RunningCount() const { return m_runs.size(); }
+  /// @return results by kind and size since the start; a request counts as offered, then as granted
+  /// or under the reason of its refusal, and a granted one under the outcome of its run as well
+  std::vector<SizeReport> SizeReports() const;
   /// @return runs that count against a backend server
   int RunningOn(const BackendId& id) const;
 
@@ -202,7 +219,9 @@
     bool is_reading = true;
     std::int64_t unread_at_start = 0;
     TimePoint started;
-    bool is_silent = false;  ///< counted as failed, since nothing came for long
+    bool is_silent = false;          ///< counted as failed, since nothing came for long
+    SizeBalance* balance = nullptr;  ///< null for a run that was granted elsewhere
+    SizeGroup size = SizeGroup::kSmall;
   };
   /// Work of one kind, to tell large requests from small ones.
   using WorkKind = std::tuple<ServiceName, int, Millis>;
@@ -211,6 +230,7 @@
     double cost_ms = 0;  ///< time in a place of a fast backend server
     double value = 0;
     SizeBalance* balance = nullptr;
+    SizeGroup size = SizeGroup::kSmall;
     bool is_new = true;
   };
   /// What the backend servers of a service can do, as of one decision.
@@ -242,7 +262,7 @@
   void EndReading(Run& run);
   void DecideService(const ServiceName& service, std::vector<Waiting*> queue, TimePoint now,
                      StartGate& gate, Decisions& decisions);
-  void Refuse(const Work& work, RefusalReason reason, Millis retry_after,
+  void Refuse(const Waiting& waiting, RefusalReason reason, Millis retry_after,
               const DecisionInputs& inputs, Decisions& decisions);
   void NoteNext(TimePoint at);
 
--- a/src/gateway/size-balance.h
+++ b/src/gateway/size-balance.h
@@ -3,9 +3,29 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
 
 namespace bluebellpass::gateway {
 
+/// Requests of a kind by their size.
+enum class SizeGroup : std::uint8_t {
+  kSmall,
+  kLarge,    ///< the fifth below the largest
+  kLargest,  ///< the largest tenth
+};
+inline constexpr std::size_t kSizeGroups = 3;
+
+/// @return the group's stable name in logs and metrics
+constexpr std::string_view NameOf(SizeGroup group) {
+  constexpr std::array<std::string_view, kSizeGroups> kNames = {"small", "large", "largest"};
+  return kNames.at(static_cast<std::size_t>(group));
+}
+
+/// How many requests of one kind and size came to each result, since the start.
+using SizeCounts = std::map<std::string_view, std::uint64_t>;
+
 /// Keeps the large requests of a kind from being put off for ever by its small ones. Requests are
 /// told apart by their cost: the largest tenth, the fifth below it, and the rest. A group that is
 /// granted much less often than the kind as a whole is raised.
@@ -28,13 +48,25 @@
   void Note(double cost, bool is_granted) {
     const double value = is_granted ? 1 : 0;
     m_all += kGrantRate * (value - m_all);
-    double& group = m_groups.at(GroupOf(cost));
+    double& group = GrantedPart(cost);
     group += kGrantRate * (value - group);
   }
+  /// Counts a result for metrics.
+  /// @param result static text
+  void Count(SizeGroup group, std::string_view result) {
+    ++m_counts.at(static_cast<std::size_t>(group))[result];
+  }
+  const SizeCounts& Counts(SizeGroup group) const {
+    return m_counts.at(static_cast<std::size_t>(group));
+  }
+  SizeGroup GroupOf(double cost) const {
+    if (cost <= m_bounds[0]) return SizeGroup::kSmall;
+    return cost <= m_bounds[1] ? SizeGroup::kLarge : SizeGroup::kLargest;
+  }
   /// @return factor on the value of a request, 1 to kLargestBoost
   double Boost(double cost) const {
     const double wanted = kWantedPart * m_all;
-    const double granted = m_groups.at(GroupOf(cost));
+    const double granted = m_groups.at(static_cast<std::size_t>(GroupOf(cost)));
     if (granted >= wanted) return 1;
     // Steep, since a group that is granted rarely must pass before many others at once.
     const double missing = wanted / std::max(granted, 1e-3);
@@ -42,10 +74,7 @@
   }
 
  private:
-  std::size_t GroupOf(double cost) const {
-    if (cost <= m_bounds[0]) return 0;
-    return cost <= m_bounds[1] ? 1 : 2;
-  }
+  double& GrantedPart(double cost) { return m_groups.at(static_cast<std::size_t>(GroupOf(cost))); }
 
   static constexpr std::array<double, 2> kBelow = {0.7, 0.9};
   // Weights of one request in the moving estimates.
@@ -60,7 +89,8 @@
   double m_mean = 0;
   std::array<double, 2> m_bounds{};
   double m_all = 1;
-  std::array<double, 3> m_groups{1, 1, 1};
+  std::array<double, kSizeGroups> m_groups{1, 1, 1};
+  std::array<SizeCounts, kSizeGroups> m_counts;
 };
 
 }  // namespace bluebellpass::gateway
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -96,6 +96,8 @@
               "the first list of backend servers has been read"},
     EventInfo{kBackendLimited, "backend_limited", kWarning,
               "work is kept away from a backend server that fails more than the others"},
+    EventInfo{kLoadBySize, "load_by_size", kInfo,
+              "results of the requests of one kind and size since the start"},
 };
 
 constexpr std::size_t kMaxRecorded = 20'000;
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -290,4 +290,20 @@
   }
 }
 
+// Guards against sums by size that lose requests, so that a size that starves cannot be seen.
+BOOST_FIXTURE_TEST_CASE(EachRequestIsCountedByItsSize, Fixture) {
+  scheduler.SetBackend(BackendOf("a"), &engines);
+  for (int i = 0; i < 40; ++i)
+    scheduler.Add(WorkOf("w" + std::to_string(i), 0, 500, i % 10 == 0 ? 2'000 : 50));
+  Granted();
+  scheduler.Release(last.grants[0].id, RunReport{RunOutcome::kCompleted, {}, {}}, kStart);
+  Granted(kStart + Millis{4'000});
+  SizeCounts sums;
+  for (const SizeReport& report : scheduler.SizeReports())
+    for (const auto& [result, count] : report.counts) sums[result] += count;
+  BOOST_TEST(sums["offered"] == 40U);
+  BOOST_TEST(sums["granted"] + sums["too_late"] + sums["overloaded"] == 40U);
+  BOOST_TEST(sums["completed"] == 1U);
+}
+
 }  // namespace bluebellpass::gateway
