Add a test that plays the starving of large requests, known red

What callers saw: of the largest tenth of the questions fewer than half as many served as of all questions.

Results of plays are now kept by size group, without what a fault broke off, and engines can be lost in a play. The bounds of the other cases stay.

--- /dev/null
+++ b/test/gateway-size-test.cc
@@ -0,0 +1,27 @@
+#include <boost/test/unit_test.hpp>
+
+#include "standins/load-play.h"
+
+namespace bluebellpass::test {
+namespace {
+
+constexpr std::uint64_t kSeeds[] = {1, 2, 3};
+constexpr double kLostShares[] = {0, 0.2, 0.5};
+
+/// Each size of each kind is to be served at least half as often as the whole kind.
+void CheckSizes(const PlayResults& results) {
+  BOOST_TEST_MESSAGE(Describe(results));
+  for (const auto& [name, result] : results)
+    for (const PlaySizeGroup& group : result.sizes)
+      BOOST_TEST(group.Served() >= result.ServedUnbroken() / 2, name);
+}
+
+}  // namespace
+
+// Guards against the longest requests of a kind being refused while its short ones are served.
+BOOST_AUTO_TEST_CASE(QuestionBurstServesAllSizes) {
+  for (const std::uint64_t seed : kSeeds)
+    for (const double lost_share : kLostShares) CheckSizes(Play(QuestionBurst(seed, lost_share)));
+}
+
+}  // namespace bluebellpass::test
--- a/test/standins/load-play.cc
+++ b/test/standins/load-play.cc
@@ -1,6 +1,7 @@
 #include "load-play.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdio>
 #include <memory>
@@ -36,7 +37,7 @@
   TimePoint first_sent;  ///< of the caller's first attempt
   TimePoint sent;
   TimePoint deadline;
-  bool is_large = false;
+  std::size_t size_group = 0;
   bool is_back = false;  ///< it came back after a refusal
   std::optional<std::size_t> engine;
   TimePoint granted;
@@ -55,9 +56,8 @@
  public:
   Player(const PlayOptions& options, bool is_scheduled)
       : m_options(options), m_is_scheduled(is_scheduled), m_random(options.seed) {
-    gateway::Service service;
-    service.name = gateway::ServiceName("s");
-    service.engine =
+    m_service.name = gateway::ServiceName("s");
+    m_service.engine =
         gateway::EngineTraits{options.engine.slots, 0, options.engine.tokens_per_event};
     for (std::size_t i = 0; i < options.slowness.size(); ++i) {
       EngineModelOptions engine = options.engine;
@@ -66,9 +66,10 @@
       m_engines.emplace_back(engine);
       Backend backend;
       backend.id = BackendId("e" + std::to_string(i));
-      backend.service = service.name;
+      backend.service = m_service.name;
       backend.slots = options.engine.slots;
-      m_scheduler.SetBackend(backend, &service);
+      m_scheduler.SetBackend(backend, &m_service);
+      m_backends.push_back(backend);
     }
   }
 
@@ -107,11 +108,11 @@
         attempt.deadline = attempt.sent + kind.deadline;
         attempts.emplace_back(kind.name + "-" + std::to_string(attempts.size()), attempt);
       }
-      MarkLarge(attempts);
+      MarkSizes(attempts);
       for (auto& [id, attempt] : attempts) {
         PlayResult& result = m_results[kind.name];
         ++result.asked;
-        result.asked_large += attempt.is_large ? 1 : 0;
+        ++result.sizes.at(attempt.size_group).asked;
         result.worth_owed += WorthOf(attempt, false);
         m_arrivals.emplace(attempt.sent, id);
         m_attempts.emplace(id, attempt);
@@ -122,14 +123,19 @@
   static std::int64_t SizeOf(const Attempt& attempt) {
     return attempt.prompt + 10 * attempt.output;
   }
-  static void MarkLarge(std::vector<std::pair<std::string, Attempt>>& attempts) {
+  static void MarkSizes(std::vector<std::pair<std::string, Attempt>>& attempts) {
     std::vector<std::int64_t> sizes;
     sizes.reserve(attempts.size());
     for (const auto& [id, attempt] : attempts) sizes.push_back(SizeOf(attempt));
     std::sort(sizes.begin(), sizes.end());
     if (sizes.empty()) return;
-    const std::int64_t bound = sizes[sizes.size() * 9 / 10];
-    for (auto& [id, attempt] : attempts) attempt.is_large = SizeOf(attempt) >= bound;
+    const std::array<std::int64_t, 2> bounds = {sizes[sizes.size() * 7 / 10],
+                                                sizes[sizes.size() * 9 / 10]};
+    for (auto& [id, attempt] : attempts)
+      for (const std::int64_t bound : bounds) attempt.size_group += SizeOf(attempt) >= bound;
+  }
+  PlaySizeGroup& GroupOf(const Attempt& attempt) {
+    return m_results[attempt.kind->name].sizes.at(attempt.size_group);
   }
   double WorthOf(const Attempt& attempt, bool is_late) const {
     const PlayKind& kind = *attempt.kind;
@@ -152,6 +158,7 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i)
       for (const EngineModel::Event& event : m_engines[i].RunUntil(now))
         is_changed = TakeEvent(event) || is_changed;
+    is_changed = LoseEngines(now) || is_changed;
     is_changed = BreakOff(now) || is_changed;
     is_changed = DropImpatient(now) || is_changed;
     if (!m_is_scheduled) return;
@@ -202,13 +209,36 @@
     return nullptr;
   }
 
+  bool LoseEngines(TimePoint now) {
+    bool is_changed = false;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+      const PlayFault* fault = FaultOf(i, now);
+      const bool is_lost = fault != nullptr && fault->manner == PlayFault::Manner::kLost;
+      if (is_lost == m_lost.contains(i)) continue;
+      is_changed = true;
+      if (!is_lost) {
+        m_lost.erase(i);
+        m_scheduler.SetBackend(m_backends[i], &m_service);
+        continue;
+      }
+      m_lost.insert(i);
+      m_scheduler.RemoveBackend(m_backends[i].id);
+      for (const std::string& id : m_active)
+        if (m_attempts.at(id).engine == i) m_resets.emplace(now, id);
+    }
+    return is_changed;
+  }
+
   bool BreakOff(TimePoint now) {
     bool is_changed = false;
     while (!m_resets.empty() && m_resets.begin()->first <= now) {
       const std::string id = m_resets.begin()->second;
       m_resets.erase(m_resets.begin());
       if (m_active.erase(id) == 0) continue;
-      ++m_results[m_attempts.at(id).kind->name].failed;
+      const Attempt& attempt = m_attempts.at(id);
+      ++m_results[attempt.kind->name].failed;
+      ++GroupOf(attempt).broken_off;
+      m_engines[*attempt.engine].Cancel(id);
       Release(id, RunOutcome::kLost, now);
       is_changed = true;
     }
@@ -229,6 +259,7 @@
     const auto left = std::chrono::duration_cast<Millis>(attempt.deadline - now);
     if (attempt.is_back || left < Millis{50}) {
       ++result.refused;
+      ++GroupOf(attempt).refused;
       result.refusal_ms += std::chrono::duration<double, std::milli>(now - attempt.sent).count();
       return;
     }
@@ -263,7 +294,7 @@
     if (!event.is_end) return true;
     PlayResult& result = m_results[kind.name];
     ++(attempt.is_late ? result.late : result.on_time);
-    result.served_large += attempt.is_large ? 1 : 0;
+    ++GroupOf(attempt).served;
     result.worth += WorthOf(attempt, attempt.is_late);
     m_active.erase(event.id);
     Release(event.id, RunOutcome::kCompleted, event.at);
@@ -294,7 +325,9 @@
     for (const std::string& id : gone) {
       const Attempt& attempt = m_attempts.at(id);
       PlayResult& result = m_results[attempt.kind->name];
-      ++(attempt.engine && FaultOf(*attempt.engine, attempt.granted) ? result.failed : result.left);
+      const bool is_failed = attempt.engine && FaultOf(*attempt.engine, attempt.granted);
+      ++(is_failed ? result.failed : result.left);
+      ++(is_failed ? GroupOf(attempt).broken_off : GroupOf(attempt).left);
       m_active.erase(id);
       if (attempt.engine) {
         m_engines[*attempt.engine].Cancel(id);
@@ -311,7 +344,10 @@
   std::mt19937_64 m_random;
   Scheduler m_scheduler;
   Open m_gate;
+  gateway::Service m_service;
+  std::vector<Backend> m_backends;
   std::vector<EngineModel> m_engines;
+  std::set<std::size_t> m_lost;  ///< engines that are gone
   std::map<std::string, Attempt> m_attempts;
   std::set<std::string> m_active;
   std::multimap<TimePoint, std::string> m_arrivals;
@@ -325,12 +361,14 @@
 PlayResults PlayUnscheduled(const PlayOptions& options) { return Player(options, false).Run(); }
 
 std::string Describe(const PlayResults& results) {
-  std::string text = "kind          asked on time   late refused   left failed  worth  large\n";
+  std::string text =
+      "kind          asked on time   late refused   left failed  worth  small medium large\n";
   for (const auto& [name, r] : results) {
     char line[160];
-    std::snprintf(line, sizeof(line), "%-12s %6d %7d %6d %7d %6d %6d  %.3f  %.3f\n", name.c_str(),
-                  r.asked, r.on_time, r.late, r.refused, r.left, r.failed, r.worth / r.worth_owed,
-                  r.ServedLarge());
+    std::snprintf(line, sizeof(line), "%-12s %6d %7d %6d %7d %6d %6d  %.3f  %.3f  %.3f %.3f\n",
+                  name.c_str(), r.asked, r.on_time, r.late, r.refused, r.left, r.failed,
+                  r.worth / r.worth_owed, r.sizes[0].Served(), r.sizes[1].Served(),
+                  r.sizes[2].Served());
     text += line;
   }
   return text;
@@ -352,4 +390,23 @@
   return options;
 }
 
+PlayOptions QuestionBurst(std::uint64_t seed, double lost_share) {
+  PlayOptions options;
+  options.seed = seed;
+  options.engine.tokens_per_event = 7;
+  // A third of the fleet and of its load.
+  options.kinds = {{"dossier", 0, 49, 7, 2, 6'610, 1.0, 54'600, 385, 1.5, 3'800, Millis{800},
+                    Millis{250}, Millis{15'000}},
+                   {"question", 1, 47, 1.7, 0.52, 628, 0.8, 3'310, 291, 1.5, 2'940, Millis{300},
+                    Millis{250}, Millis{12'000}},
+                   {"label", 2, 72, 0.32, 0.096, 1'800, 1.0, 6'870, 22, 1.5, 224, Millis{400},
+                    Millis{250}, Millis{3'000}}};
+  options.bursts = {{"question", 4, 4, 14}};
+  constexpr std::size_t kEngines = 20;
+  for (std::size_t i = 0; i < kEngines; ++i) options.slowness.push_back(i % 3 == 2 ? 4.6 : 1.0);
+  const auto lost = static_cast<std::size_t>(std::lround(lost_share * kEngines));
+  if (lost > 0) options.faults = {{PlayFault::Manner::kLost, 0, lost, 5, 12}};
+  return options;
+}
+
 }  // namespace bluebellpass::test
--- a/test/standins/load-play.h
+++ b/test/standins/load-play.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -36,11 +37,12 @@
   double for_s = 0;
 };
 
-/// A time in which some engines fail all that they are sent, while they stay registered.
+/// A time in which some engines fail all that they are sent, or are gone.
 struct PlayFault {
   enum class Manner : std::uint8_t {
     kReset,   ///< requests are broken off at once
     kSilent,  ///< requests get no answer
+    kLost,    ///< the engine breaks off what it runs and is no longer registered
   };
   Manner manner = Manner::kReset;
   std::size_t first = 0;  ///< index of the first of these engines
@@ -59,24 +61,46 @@
   std::uint64_t seed = 1;
 };
 
+/// What callers of one size got. Sizes are told apart as callers count them: the largest tenth of a
+/// kind by tokens, the fifth below it, and the rest.
+struct PlaySizeGroup {
+  int asked = 0;
+  int served = 0;      ///< whole answers, also late ones
+  int refused = 0;     ///< told so, and did not come back with success
+  int left = 0;        ///< the caller gave up without an answer
+  int broken_off = 0;  ///< by an engine that fails
+
+  /// @return part of the requests that were served, without those that a fault broke off
+  double Served() const {
+    return asked == broken_off ? 1 : static_cast<double>(served) / (asked - broken_off);
+  }
+};
+
 /// What callers of a kind got.
 struct PlayResult {
   int asked = 0;
   int on_time = 0;
   int late = 0;
-  int refused = 0;      ///< told so, and did not come back with success
-  int left = 0;         ///< the caller gave up without an answer
-  int failed = 0;       ///< broken off or left in silence by an engine that fails
-  int asked_large = 0;  ///< the largest tenth
-  int served_large = 0;
+  int refused = 0;                     ///< told so, and did not come back with success
+  int left = 0;                        ///< the caller gave up without an answer
+  int failed = 0;                      ///< broken off or left in silence by an engine that fails
+  std::array<PlaySizeGroup, 3> sizes;  ///< from the smallest to the largest
   double worth = 0;
   double worth_owed = 0;
   double refusal_ms = 0;  ///< mean time until a refusal
 
   double Served() const { return asked == 0 ? 1 : static_cast<double>(on_time + late) / asked; }
-  double ServedLarge() const {
-    return asked_large == 0 ? 1 : static_cast<double>(served_large) / asked_large;
+  /// @return part of the requests that were served, without those that a fault broke off
+  double ServedUnbroken() const {
+    PlaySizeGroup all;
+    for (const PlaySizeGroup& group : sizes) {
+      all.asked += group.asked;
+      all.served += group.served;
+      all.broken_off += group.broken_off;
+    }
+    return all.Served();
   }
+  double ServedLarge() const { return sizes.back().Served(); }
 };
 
 using PlayResults = std::map<std::string, PlayResult>;
@@ -96,4 +120,10 @@
 /// @param load against the ordinary rate of such a day
 PlayOptions HeavyDay(std::uint64_t seed, double load = 1);
 
+/// A day of Calentadores Andinos on which questions come at four times their rate while a part of
+/// the engines is lost. Answers to questions differ a hundredfold in length, and the longest ones
+/// meet their deadline only on the faster engines.
+/// @param lost_share part of the engines that are lost
+PlayOptions QuestionBurst(std::uint64_t seed, double lost_share);
+
 }  // namespace bluebellpass::test
