Recognise a silent backend server by its first silent run

Callers saw: requests sent to an engine that takes them and never answers, until each of its runs had been silent for a second by itself.

Cause: a run counted as silent only for itself, so a server with several unread prompts got more work meanwhile; the larger the prompts ahead of a run, the later it counted.

Change: when a run is silent and its server has shown neither a first event nor a whole answer since it began, all unread runs of the server count.

Test: SilentBackendIsKnownByItsFirstSilentRun, which fails without the change (no limit is set).

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -183,12 +183,14 @@
   found->second.unread_tokens -= run.work.prompt_tokens;
 }
 
-void Scheduler::NoteFirstEvent(const AttemptId& id, Millis after, TimePoint /*now*/) {
+void Scheduler::NoteFirstEvent(const AttemptId& id, Millis after, TimePoint now) {
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
   EndReading(found->second);
   const auto state = m_backends.find(found->second.backend);
-  if (state == m_backends.end() || found->second.work.prompt_tokens < kLeastPromptForSpeed) return;
+  if (state == m_backends.end()) return;
+  state->second.last_sign = now;
+  if (found->second.work.prompt_tokens < kLeastPromptForSpeed) return;
   const double produced_ms = state->second.speed.DecodingMs(found->second.unread_at_start);
   const double ratio = std::clamp(static_cast<double>(after.count()) / produced_ms,
                                   kLeastReadingRatio, kLargestReadingRatio);
@@ -222,6 +224,7 @@
     case RunOutcome::kNotRun:
       return;
     case RunOutcome::kCompleted:
+      found->second.last_sign = now;
       return failures.Note(false, now);
     case RunOutcome::kFailed:
     case RunOutcome::kLost:
@@ -243,7 +246,9 @@
     const double expected_ms = found->second.speed.ReadingMs(run.unread_at_start);
     if (MillisOf(now - run.started) <= expected_ms * kSilentRunFactor) continue;
     run.is_silent = true;
-    found->second.failures.Note(true, now);
+    // A server that has shown nothing since then is silent towards all that wait for it.
+    const int lost = found->second.last_sign < run.started ? found->second.reading : 1;
+    for (int i = 0; i < lost; ++i) found->second.failures.Note(true, now);
   }
 }
 
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -210,6 +210,7 @@
     std::int64_t reserved_tokens = 0;  ///< memory of all runs
     TimePoint avoid_until{};
     TimePoint next_trial{};  ///< while it gets trials only
+    TimePoint last_sign{};   ///< of a first event or a whole answer
     FailureLimit limit = FailureLimit::kNone;
     FailureRate failures;
   };
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -306,4 +306,26 @@
   BOOST_TEST(sums["completed"] == 1U);
 }
 
+// Guards against a silent backend server that goes on getting work until each of its runs has been
+// silent for long by itself.
+BOOST_FIXTURE_TEST_CASE(SilentBackendIsKnownByItsFirstSilentRun, Fixture) {
+  const auto add_for_a = [&](const std::string& id, TimePoint now) {
+    Work work = WorkOf(id);
+    work.arrived = now;
+    work.deadline = now + Millis{15'000};
+    for (const char* other : {"b", "c", "d", "e", "f"}) work.excluded.insert(BackendId(other));
+    scheduler.Add(work);
+    BOOST_TEST(Granted(now).size() == 1U);
+  };
+  for (const char* id : {"a", "b", "c", "d", "e", "f"})
+    scheduler.SetBackend(BackendOf(id, "chat", 8), &engines);
+  add_for_a("first", kStart);
+  for (int i = 0; i < 3; ++i) add_for_a("w" + std::to_string(i), kStart + Millis{900});
+  scheduler.Add(WorkOf("next"));
+  Granted(kStart + Millis{1'200});
+  BOOST_REQUIRE(last.limits.size() == 1);
+  BOOST_TEST(last.limits[0].backend.Text() == "a");
+  BOOST_TEST((last.limits[0].limit == FailureLimit::kTrialsOnly));
+}
+
 }  // namespace bluebellpass::gateway
