Measure the size of a request in tokens instead of time

Callers saw: dossiers with long prompts put behind others although their answers are worth more, and long questions that were not counted among the largest of their kind.

Cause: the value of a request and its size group were derived from the expected time in a place, where a token of output counts 200 to 300 tokens of prompt. Callers count ten. Value divided by time then hardly depended on the prompt.

Change: the size is prompt tokens + 10 x expected output tokens, for both.

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -19,6 +19,8 @@
 // The value of an answer grows with its size, but not from nothing.
 constexpr double kFixedValue = 0.3;
 constexpr double kLargestRelativeSize = 4;
+// Tokens of the prompt that a token of the output counts as, in the size that callers see.
+constexpr std::int64_t kOutputWeight = 10;
 // Value of an answer that will be late, against one that is on time.
 constexpr double kLateValue = 0.4;
 // Steps that read prompts delay the output of running streams; measured on busy engines.
@@ -363,10 +365,11 @@
   speed.reading_ratio = m_reading_ratio;
   waiting.cost_ms = CostOf(work, speed);
   waiting.balance = &m_balances[WorkKind{work.service, work.rank, work.objective}];
-  waiting.balance->Observe(waiting.cost_ms);
-  waiting.size = waiting.balance->GroupOf(waiting.cost_ms);
+  waiting.tokens = static_cast<double>(work.prompt_tokens + kOutputWeight * work.output_tokens) + 1;
+  waiting.balance->Observe(waiting.tokens);
+  waiting.size = waiting.balance->GroupOf(waiting.tokens);
   waiting.balance->Count(waiting.size, "offered");
-  const double size = std::min(waiting.cost_ms / waiting.balance->Mean(), kLargestRelativeSize);
+  const double size = std::min(waiting.tokens / waiting.balance->Mean(), kLargestRelativeSize);
   waiting.value = std::pow(kRankWeight, work.rank) * (kFixedValue + (1 - kFixedValue) * size);
 }
 
@@ -374,7 +377,7 @@
   const Work& work = waiting.work;
   const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
   const bool is_late = MillisOf(now - work.arrived) + first_ms > MillisOf(work.objective);
-  return waiting.value / waiting.cost_ms * waiting.balance->Boost(waiting.cost_ms) *
+  return waiting.value / waiting.cost_ms * waiting.balance->Boost(waiting.tokens) *
          (is_late ? kLateValue : 1);
 }
 
@@ -502,7 +505,7 @@
     const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
     const double waited_ms = MillisOf(now - work.arrived);
     const bool is_late = waited_ms + first_ms > MillisOf(work.objective);
-    const double raise = waiting->balance->Boost(waiting->cost_ms);
+    const double raise = waiting->balance->Boost(waiting->tokens);
     BackendState* state = capacity.free_places > 0 ? Choose(work, capacity, is_late, now) : nullptr;
     if (state != nullptr && gate.TryStart(work, now)) {
       --capacity.free_places;
@@ -516,7 +519,7 @@
       Run& run = m_runs.at(work.id);
       run.balance = waiting->balance;
       run.size = waiting->size;
-      waiting->balance->Note(waiting->cost_ms, true);
+      waiting->balance->Note(waiting->tokens, true);
       m_waiting.erase(AttemptId(work.id));
       continue;
     }
@@ -525,7 +528,7 @@
     const double left_ms = MillisOf(work.deadline - now);
     const bool is_hopeless = longest_ms <= 0 || left_ms <= first_ms;
     if (is_hopeless || (waiting->is_new && wait_ms > longest_ms)) {
-      waiting->balance->Note(waiting->cost_ms, false);
+      waiting->balance->Note(waiting->tokens, false);
       const Millis wait = std::clamp(ToMillis(wait_ms), kLeastRetryAfter, kLargestRetryAfter);
       Refuse(*waiting, is_hopeless ? RefusalReason::kTooLate : RefusalReason::kOverloaded,
              Spread(wait, work.id),
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -229,6 +229,7 @@
   struct Waiting {
     Work work;
     double cost_ms = 0;  ///< time in a place of a fast backend server
+    double tokens = 0;   ///< size as callers see it
     double value = 0;
     SizeBalance* balance = nullptr;
     SizeGroup size = SizeGroup::kSmall;
