Give no scarce place to answers that cannot end before their deadline

Callers saw: long answers that were cut at the deadline after having held a place for up to 15 s, while others were refused for want of places. In one play of the burst of questions, 22 of 49 runs that were broken off at the deadline had an expected time above what was left when they began.

Cause: placement bounds the expected time by a part of the time left, but accepts any length on the fastest backend servers.

Change: while places are scarce, work that would not be whole before its deadline on the fastest backend server, beside other runs, is refused at once as too late. With places to spare it is tried, since estimates are often far off. The expected output is bounded by the most that the request allows.

Test: WorkThatCannotEndInTimeGetsNoScarcePlace.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -164,8 +164,11 @@
   work.deadline = m_deadline;
   work.prompt_tokens = m_request.prompt_tokens.value_or(0);
   if (m_request.prompt_tokens) {
-    work.output_tokens = m_request.output_hint.value_or(
-        m_request.max_output_tokens > 0 ? m_request.max_output_tokens : kDefaultOutputTokens);
+    const std::int64_t most =
+        m_request.max_output_tokens > 0 ? m_request.max_output_tokens : kDefaultOutputTokens;
+    work.output_tokens = m_request.output_hint.value_or(most);
+    // The caller's estimate may be far above what it allows.
+    if (m_request.max_output_tokens > 0) work.output_tokens = std::min(work.output_tokens, most);
   }
   work.max_gap = m_route->max_gap;
   work.patience = PatienceOf(*m_route);
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -388,9 +388,11 @@
          MillisOf(work.max_gap) * kPausePart;
 }
 
+bool Scheduler::Capacity::IsScarce() const { return free_places < places * (1 - kScarcePart); }
+
 Scheduler::BackendState* Scheduler::Choose(const Work& work, const Capacity& capacity, bool is_late,
                                            TimePoint now) {
-  const bool is_scarce = capacity.free_places < capacity.places * (1 - kScarcePart);
+  const bool is_scarce = capacity.IsScarce();
   BackendState* best = nullptr;
   double best_ms = std::numeric_limits<double>::max();
   const double waited_ms = MillisOf(now - work.arrived) + MillisOf(kTravel);
@@ -506,7 +508,11 @@
     const double waited_ms = MillisOf(now - work.arrived);
     const bool is_late = waited_ms + first_ms > MillisOf(work.objective);
     const double raise = waiting->balance->Boost(waiting->tokens);
-    BackendState* state = capacity.free_places > 0 ? Choose(work, capacity, is_late, now) : nullptr;
+    const double left_ms = MillisOf(work.deadline - now);
+    // A run that is broken off at the deadline would take its place from several others.
+    const bool is_too_long = capacity.IsScarce() && CostOf(work, capacity.fastest) > left_ms;
+    BackendState* state =
+        capacity.free_places > 0 && !is_too_long ? Choose(work, capacity, is_late, now) : nullptr;
     if (state != nullptr && gate.TryStart(work, now)) {
       --capacity.free_places;
       decisions.grants.push_back(
@@ -525,8 +531,7 @@
     }
     const double wait_ms = ahead_ms / drain_rate * kWaitMargin;
     const double longest_ms = MillisOf(work.patience) * kPatiencePart - first_ms - waited_ms;
-    const double left_ms = MillisOf(work.deadline - now);
-    const bool is_hopeless = longest_ms <= 0 || left_ms <= first_ms;
+    const bool is_hopeless = longest_ms <= 0 || left_ms <= first_ms || is_too_long;
     if (is_hopeless || (waiting->is_new && wait_ms > longest_ms)) {
       waiting->balance->Note(waiting->tokens, false);
       const Millis wait = std::clamp(ToMillis(wait_ms), kLeastRetryAfter, kLargestRetryAfter);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -149,6 +149,8 @@
 /// silent for long counts as failed before its caller leaves.
 ///   Answers backend servers whose health check is good while they fail requests; those that fail
 ///   at once would otherwise seem free and draw all that waits.
+/// - Work whose answer would not be whole before its deadline on the fastest backend server gets no
+///   place while places are scarce. Answers answers that differ a hundredfold in length.
 /// - Work that cannot start before its caller leaves is refused when that becomes clear, mostly on
 ///   arrival, with the time at which the queue will have drained. Answers bursts above the
 ///   capacity.
@@ -243,6 +245,8 @@
     double fast_places = 0;  ///< places, each counted by its speed against the fastest
     SpeedModel fastest;
     double failures = 0;  ///< mean rate over the backend servers
+
+    bool IsScarce() const;
   };
 
   int PlacesOf(const BackendState& state) const;
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -328,4 +328,21 @@
   BOOST_TEST((last.limits[0].limit == FailureLimit::kTrialsOnly));
 }
 
+// Guards against places that are taken until the deadline by answers that cannot be whole by then.
+BOOST_FIXTURE_TEST_CASE(WorkThatCannotEndInTimeGetsNoScarcePlace, Fixture) {
+  scheduler.SetBackend(BackendOf("a", "chat", 1), &engines);
+  scheduler.Add(WorkOf("running"));
+  BOOST_TEST(Granted().size() == 1U);
+  scheduler.Release(AttemptId("running"), RunReport{RunOutcome::kCompleted, {}, {}}, kStart);
+  // 4,000 tokens take 18 s, and the deadline is in 15 s. With the place free, that is tried.
+  scheduler.Add(WorkOf("long", 0, 500, 4'000));
+  BOOST_TEST(Granted() == std::vector<std::string>{"long"});
+  scheduler.Add(WorkOf("next long", 0, 500, 4'000));
+  scheduler.Add(WorkOf("short"));
+  BOOST_TEST(Granted().empty());
+  BOOST_REQUIRE(last.refusals.size() == 1);
+  BOOST_TEST(last.refusals[0].id.Text() == "next long");
+  BOOST_TEST((last.refusals[0].reason == RefusalReason::kTooLate));
+}
+
 }  // namespace bluebellpass::gateway
--- a/test/standins/load-play.cc
+++ b/test/standins/load-play.cc
@@ -101,9 +101,9 @@
         attempt.output = static_cast<std::int64_t>(
             LogNormal(m_random, kind.output_mean, kind.output_spread, kind.output_max));
         // The estimate is right at the median and often far off.
-        attempt.hint =
-            static_cast<std::int64_t>(static_cast<double>(attempt.output) *
-                                      std::exp(std::normal_distribution<double>(0, 0.5)(m_random)));
+        const double error = std::exp(std::normal_distribution<double>(0, 0.5)(m_random));
+        attempt.hint = static_cast<std::int64_t>(
+            std::min(static_cast<double>(attempt.output) * error, kind.output_max));
         attempt.sent = attempt.first_sent = At(at);
         attempt.deadline = attempt.sent + kind.deadline;
         attempts.emplace_back(kind.name + "-" + std::to_string(attempts.size()), attempt);
