Serve each size of a kind by account instead of by weight

Cause: SizeBalance raised the value of a size by the cube of what was missing in a moving average of grants over 20 requests.

Change: the balance keeps, with a half-life of 10 s, how many requests of each size were decided and served; a grant counts as served until its run ends without a whole answer, and what backend servers fail counts for neither. As many requests of a size as are owed go with the best of their kind, in order of arrival.

Why it works: a count that is owed does not depend on how far values differ, and it is carried until it is paid.

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -238,6 +238,13 @@
   }
 }
 
+void Scheduler::Account(const Run& run, RunOutcome outcome, TimePoint now) {
+  if (run.balance == nullptr) return;
+  run.balance->Count(run.size, NameOf(outcome));
+  if (outcome == RunOutcome::kCompleted) return;
+  run.balance->NoteUnserved(run.size, outcome == RunOutcome::kCancelled, run.started, now);
+}
+
 void Scheduler::JudgeSilentRuns(TimePoint now) {
   if (now < m_next_silence_check) return;
   m_next_silence_check = now + kSilenceCheckPeriod;
@@ -258,8 +265,7 @@
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
   Judge(found->second, report, now);
-  if (found->second.balance != nullptr)
-    found->second.balance->Count(found->second.size, NameOf(report.outcome));
+  Account(found->second, report.outcome, now);
   EndReading(found->second);
   const Run run = std::move(found->second);
   m_runs.erase(found);
@@ -365,20 +371,68 @@
   speed.reading_ratio = m_reading_ratio;
   waiting.cost_ms = CostOf(work, speed);
   waiting.balance = &m_balances[WorkKind{work.service, work.rank, work.objective}];
-  waiting.tokens = static_cast<double>(work.prompt_tokens + kOutputWeight * work.output_tokens) + 1;
-  waiting.balance->Observe(waiting.tokens);
-  waiting.size = waiting.balance->GroupOf(waiting.tokens);
+  const auto tokens =
+      static_cast<double>(work.prompt_tokens + kOutputWeight * work.output_tokens) + 1;
+  waiting.size = waiting.balance->Observe(tokens);
   waiting.balance->Count(waiting.size, "offered");
-  const double size = std::min(waiting.tokens / waiting.balance->Mean(), kLargestRelativeSize);
+  const double size = std::min(tokens / waiting.balance->MeanSize(), kLargestRelativeSize);
   waiting.value = std::pow(kRankWeight, work.rank) * (kFixedValue + (1 - kFixedValue) * size);
 }
 
-double Scheduler::ScoreOf(const Waiting& waiting, const Capacity& capacity, TimePoint now) const {
-  const Work& work = waiting.work;
+bool Scheduler::IsLate(const Work& work, const Capacity& capacity, TimePoint now) {
   const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
-  const bool is_late = MillisOf(now - work.arrived) + first_ms > MillisOf(work.objective);
-  return waiting.value / waiting.cost_ms * waiting.balance->Boost(waiting.tokens) *
-         (is_late ? kLateValue : 1);
+  return MillisOf(now - work.arrived) + first_ms > MillisOf(work.objective);
+}
+
+std::vector<Scheduler::Ranked> Scheduler::Rank(const std::vector<Waiting*>& queue,
+                                               const Capacity& capacity, TimePoint now) {
+  std::vector<Ranked> ranked;
+  ranked.reserve(queue.size());
+  for (Waiting* waiting : queue) {
+    const bool is_late = IsLate(waiting->work, capacity, now);
+    const double score = waiting->value / waiting->cost_ms * (is_late ? kLateValue : 1);
+    ranked.push_back({waiting, score, 1, is_late});
+  }
+  RaiseOwed(ranked);
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.score != b.score) return a.score > b.score;
+    return a.waiting->Arrival() < b.waiting->Arrival();
+  });
+  return ranked;
+}
+
+void Scheduler::RaiseOwed(std::vector<Ranked>& ranked) {
+  struct Owed {
+    double best = 0;  ///< score of the best of the kind
+    std::array<double, kSizeGroups> count{};
+  };
+  std::map<const SizeBalance*, Owed> kinds;
+  bool is_any_owed = false;
+  for (const Ranked& entry : ranked) {
+    const SizeBalance* balance = entry.waiting->balance;
+    const auto [found, is_new] = kinds.try_emplace(balance);
+    Owed& owed = found->second;
+    owed.best = std::max(owed.best, entry.score);
+    if (!is_new) continue;
+    for (std::size_t i = 0; i < kSizeGroups; ++i) {
+      owed.count.at(i) = balance->OwedTo(static_cast<SizeGroup>(i));
+      is_any_owed = is_any_owed || owed.count.at(i) > 0;
+    }
+  }
+  if (!is_any_owed) return;
+  // In order of arrival, since an order of value would leave out the largest of each size.
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.is_late != b.is_late) return b.is_late;
+    return a.waiting->Arrival() < b.waiting->Arrival();
+  });
+  for (Ranked& entry : ranked) {
+    Owed& owed = kinds.at(entry.waiting->balance);
+    double& count = owed.count.at(static_cast<std::size_t>(entry.waiting->size));
+    if (count <= 0) continue;
+    --count;
+    entry.raise = owed.best / entry.score;
+    entry.score = owed.best;
+  }
 }
 
 bool Scheduler::FitsBeside(const BackendState& state, const Work& work) const {
@@ -491,23 +545,14 @@
     return;
   }
   ReportLimits(service, capacity.failures, now, decisions);
-  std::vector<std::pair<double, Waiting*>> order;
-  order.reserve(queue.size());
-  for (Waiting* waiting : queue) order.emplace_back(ScoreOf(*waiting, capacity, now), waiting);
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    if (a.first != b.first) return a.first > b.first;
-    return std::pair(a.second->work.arrived, a.second->work.id) <
-           std::pair(b.second->work.arrived, b.second->work.id);
-  });
+  const std::vector<Ranked> order = Rank(queue, capacity, now);
   double ahead_ms = 0;
   const double speedup = capacity.fastest.decode_ms_per_token / kInitialDecodeMsPerToken;
   const double drain_rate = std::max(capacity.fast_places, 1.0);
-  for (const auto& [score, waiting] : order) {
+  for (const auto& [waiting, score, raise, is_late] : order) {
     const Work& work = waiting->work;
     const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
     const double waited_ms = MillisOf(now - work.arrived);
-    const bool is_late = waited_ms + first_ms > MillisOf(work.objective);
-    const double raise = waiting->balance->Boost(waiting->tokens);
     const double left_ms = MillisOf(work.deadline - now);
     // A run that is broken off at the deadline would take its place from several others.
     const bool is_too_long = capacity.IsScarce() && CostOf(work, capacity.fastest) > left_ms;
@@ -525,7 +570,7 @@
       Run& run = m_runs.at(work.id);
       run.balance = waiting->balance;
       run.size = waiting->size;
-      waiting->balance->Note(waiting->tokens, true);
+      waiting->balance->NoteGranted(waiting->size, now);
       m_waiting.erase(AttemptId(work.id));
       continue;
     }
@@ -533,7 +578,7 @@
     const double longest_ms = MillisOf(work.patience) * kPatiencePart - first_ms - waited_ms;
     const bool is_hopeless = longest_ms <= 0 || left_ms <= first_ms || is_too_long;
     if (is_hopeless || (waiting->is_new && wait_ms > longest_ms)) {
-      waiting->balance->Note(waiting->tokens, false);
+      waiting->balance->NoteRefused(waiting->size, now);
       const Millis wait = std::clamp(ToMillis(wait_ms), kLeastRetryAfter, kLargestRetryAfter);
       Refuse(*waiting, is_hopeless ? RefusalReason::kTooLate : RefusalReason::kOverloaded,
              Spread(wait, work.id),
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -60,7 +61,7 @@
   int free_places = 0;
   double wait_ms = 0;  ///< predicted wait, or the time waited for a grant
   SizeGroup size = SizeGroup::kSmall;
-  double raise = 1;  ///< factor on the value, while the size group is behind
+  double raise = 1;  ///< factor on the value, for a request that is owed to its size
 };
 
 struct Grant {
@@ -136,9 +137,8 @@
 /// - Work waits in order of value for the time that it occupies a place, where value falls with
 /// rank
 ///   and grows with size. Answers days on which the places are short for seconds.
-/// - Within a kind, large requests are raised when they are granted much less often than small
-/// ones.
-///   Answers overload that lasts.
+/// - Within a kind, requests of a size that is served much less often than the kind go before the
+///   others, as many as are owed. Answers overload that lasts.
 /// - A long prompt does not start beside running streams whose pauses it would stretch over their
 ///   bound. Answers backend servers that are several times slower than others.
 /// - Work that could be on time elsewhere soon does not start where it would be late. Answers
@@ -231,11 +231,12 @@
   struct Waiting {
     Work work;
     double cost_ms = 0;  ///< time in a place of a fast backend server
-    double tokens = 0;   ///< size as callers see it
     double value = 0;
     SizeBalance* balance = nullptr;
     SizeGroup size = SizeGroup::kSmall;
     bool is_new = true;
+
+    auto Arrival() const { return std::tie(work.arrived, work.id); }
   };
   /// What the backend servers of a service can do, as of one decision.
   struct Capacity {
@@ -253,7 +254,20 @@
   Capacity Survey(const ServiceName& service, TimePoint now) const;
   double CostOf(const Work& work, const SpeedModel& speed) const;
   void Appraise(Waiting& waiting);
-  double ScoreOf(const Waiting& waiting, const Capacity& capacity, TimePoint now) const;
+  /// @return true when not even the fastest backend server would begin to answer in time
+  static bool IsLate(const Work& work, const Capacity& capacity, TimePoint now);
+  /// Waiting work with its score, and the factor by which that was raised.
+  struct Ranked {
+    Waiting* waiting = nullptr;
+    double score = 0;
+    double raise = 1;
+    bool is_late = false;
+  };
+  /// @return the queue, what goes first in front
+  static std::vector<Ranked> Rank(const std::vector<Waiting*>& queue, const Capacity& capacity,
+                                  TimePoint now);
+  /// Raises as many requests of each size as are owed to it to the best of their kind.
+  static void RaiseOwed(std::vector<Ranked>& ranked);
   bool FitsBeside(const BackendState& state, const Work& work) const;
   BackendState* Choose(const Work& work, const Capacity& capacity, bool is_late, TimePoint now);
   void Start(const Work& work, BackendState& state, TimePoint now);
@@ -265,6 +279,8 @@
   void ReportLimits(const ServiceName& service, double mean, TimePoint now, Decisions& decisions);
   void Judge(const Run& run, const RunReport& report, TimePoint now);
   void JudgeSilentRuns(TimePoint now);
+  /// Keeps the balance of sizes true when a run has ended.
+  static void Account(const Run& run, RunOutcome outcome, TimePoint now);
   void EndReading(Run& run);
   void DecideService(const ServiceName& service, std::vector<Waiting*> queue, TimePoint now,
                      StartGate& gate, Decisions& decisions);
--- a/src/gateway/size-balance.h
+++ b/src/gateway/size-balance.h
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string_view>
 
+#include "bluebellpass/types.h"
+
 namespace bluebellpass::gateway {
 
 /// Requests of a kind by their size.
@@ -26,31 +30,54 @@
 /// How many requests of one kind and size came to each result, since the start.
 using SizeCounts = std::map<std::string_view, std::uint64_t>;
 
-/// Keeps the large requests of a kind from being put off for ever by its small ones. Requests are
-/// told apart by their size: the largest tenth, the fifth below it, and the rest. A group that is
-/// granted much less often than the kind as a whole is raised.
+/// Keeps account of how often the requests of each size of a kind are served, so that large ones
+/// are not put off for good by small ones, which are worth more for the time that they take. Sizes
+/// are told apart by quantiles that follow what arrives.
+///
+/// A granted request counts as served until its run ends without a whole answer. What is owed to a
+/// size is a number of requests, not a weight: a weight would have to outdo the difference in
+/// value, which varies with the load.
 class SizeBalance {
  public:
   /// Takes in the size of a request that arrives.
-  void Observe(double size) {
-    m_mean = m_is_empty ? size : m_mean + kSizeRate * (size - m_mean);
-    if (m_is_empty) m_bounds = {size, size * 2};
-    m_is_empty = false;
-    // Moves each bound up or down so that the right part of all requests lies above it.
-    for (std::size_t i = 0; i < m_bounds.size(); ++i) {
-      const double step = kBoundRate * m_mean;
-      m_bounds.at(i) += size > m_bounds.at(i) ? step * kBelow.at(i) : -step * (1 - kBelow.at(i));
+  /// @param size in tokens; 1 or more
+  /// @return its group
+  SizeGroup Observe(double size) {
+    if (m_mean == 0) {
+      m_mean = size;
+      m_bounds = {size, size * 2};
     }
+    m_mean += kMeanRate * (size - m_mean);
+    const SizeGroup group = GroupOf(size);
+    // Moves each bound up or down so that the right part of all requests lies above it. In
+    // proportion, since sizes differ a hundredfold.
+    for (std::size_t i = 0; i < m_bounds.size(); ++i)
+      m_bounds.at(i) *= 1 + kBoundRate * (size > m_bounds.at(i) ? kBelow.at(i) : kBelow.at(i) - 1);
+    return group;
   }
-  double Mean() const { return m_mean; }
+  double MeanSize() const { return m_mean; }
 
-  /// Notes whether a request was granted in the end.
-  void Note(double size, bool is_granted) {
-    const double value = is_granted ? 1 : 0;
-    m_all += kGrantRate * (value - m_all);
-    double& group = GrantedPart(size);
-    group += kGrantRate * (value - group);
+  void NoteGranted(SizeGroup group, TimePoint now) { Add(group, 1, 1, now); }
+  void NoteRefused(SizeGroup group, TimePoint now) { Add(group, 1, 0, now); }
+  /// A granted request has ended without a whole answer.
+  /// @param is_decided false when a backend server failed it, which says nothing about its size
+  void NoteUnserved(SizeGroup group, bool is_decided, TimePoint granted, TimePoint now) {
+    const double weight = WeightAfter(std::max(now, m_at) - granted);
+    Add(group, is_decided ? 0 : -weight, -weight, now);
+  }
+  /// @return requests of the group that must be granted before others of the kind; 0 or less while
+  /// the group is served often enough
+  double OwedTo(SizeGroup group) const {
+    Account all;
+    for (const Account& account : m_accounts) {
+      all.decided += account.decided;
+      all.served += account.served;
+    }
+    if (all.decided <= 0) return 0;
+    const Account& own = m_accounts.at(static_cast<std::size_t>(group));
+    return kOwedPart * all.served / all.decided * own.decided - own.served;
   }
+
   /// Counts a result for metrics.
   /// @param result static text
   void Count(SizeGroup group, std::string_view result) {
@@ -59,37 +86,47 @@
   const SizeCounts& Counts(SizeGroup group) const {
     return m_counts.at(static_cast<std::size_t>(group));
   }
+
+ private:
+  /// Requests lately, those further back counting less.
+  struct Account {
+    double decided = 0;  ///< granted or refused
+    double served = 0;   ///< running or answered whole
+  };
+
   SizeGroup GroupOf(double size) const {
     if (size <= m_bounds[0]) return SizeGroup::kSmall;
     return size <= m_bounds[1] ? SizeGroup::kLarge : SizeGroup::kLargest;
   }
-  /// @return factor on the value of a request, 1 to kLargestBoost
-  double Boost(double size) const {
-    const double wanted = kWantedPart * m_all;
-    const double granted = m_groups.at(static_cast<std::size_t>(GroupOf(size)));
-    if (granted >= wanted) return 1;
-    // Steep, since a group that is granted rarely must pass before many others at once.
-    const double missing = wanted / std::max(granted, 1e-3);
-    return std::min(missing * missing * missing, kLargestBoost);
+  static double WeightAfter(TimePoint::duration age) {
+    return std::exp2(-std::chrono::duration<double>(age).count() / kHalfLifeS);
+  }
+  void Add(SizeGroup group, double decided, double served, TimePoint now) {
+    const double factor = now > m_at ? WeightAfter(now - m_at) : 1;
+    m_at = std::max(m_at, now);
+    for (Account& account : m_accounts) {
+      account.decided *= factor;
+      account.served *= factor;
+    }
+    Account& own = m_accounts.at(static_cast<std::size_t>(group));
+    own.decided = std::max(own.decided + decided, 0.0);
+    own.served = std::max(own.served + served, 0.0);
   }
-
- private:
-  double& GrantedPart(double size) { return m_groups.at(static_cast<std::size_t>(GroupOf(size))); }
 
   static constexpr std::array<double, 2> kBelow = {0.7, 0.9};
   // Weights of one request in the moving estimates.
-  static constexpr double kSizeRate = 0.05;
+  static constexpr double kMeanRate = 0.05;
   static constexpr double kBoundRate = 0.05;
-  static constexpr double kGrantRate = 0.05;
-  // The platform asks for half; the estimates vary.
-  static constexpr double kWantedPart = 0.65;
-  static constexpr double kLargestBoost = 30;
+  // The platform asks that each size is served half as often as its kind. The sizes are estimates
+  // and some answers are broken off later, so more is owed.
+  static constexpr double kOwedPart = 0.7;
+  // Seconds after which a request counts half; the longest answers last about as long.
+  static constexpr double kHalfLifeS = 10;
 
-  bool m_is_empty = true;
   double m_mean = 0;
   std::array<double, 2> m_bounds{};
-  double m_all = 1;
-  std::array<double, kSizeGroups> m_groups{1, 1, 1};
+  std::array<Account, kSizeGroups> m_accounts{};
+  TimePoint m_at{};
   std::array<SizeCounts, kSizeGroups> m_counts;
 };
 
