Set the bounds between sizes from the first requests

A coordinator starts without knowledge, and an unusual first request set the bounds so that they needed several hundred requests to fall. Until then no request counts among the largest, and nothing is owed to them.

Change: the bounds are the quantiles of the first 50 sizes, and follow from there.

Test: GroupsHoldSoonAfterTheStart.

--- a/src/gateway/size-balance.h
+++ b/src/gateway/size-balance.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <vector>
 
 #include "bluebellpass/types.h"
 
@@ -43,11 +44,16 @@
   /// @param size in tokens; 1 or more
   /// @return its group
   SizeGroup Observe(double size) {
-    if (m_mean == 0) {
-      m_mean = size;
-      m_bounds = {size, size * 2};
+    m_mean += (m_mean == 0 ? 1 : kMeanRate) * (size - m_mean);
+    if (m_first.size() < kFirstSizes) {
+      m_first.insert(std::upper_bound(m_first.begin(), m_first.end(), size), size);
+      const auto count = static_cast<double>(m_first.size());
+      for (std::size_t i = 0; i < m_bounds.size(); ++i) {
+        const auto below = static_cast<std::size_t>(count * kBelow.at(i));
+        m_bounds.at(i) = m_first.at(std::max<std::size_t>(below, 1) - 1);
+      }
+      return GroupOf(size);
     }
-    m_mean += kMeanRate * (size - m_mean);
     const SizeGroup group = GroupOf(size);
     // Moves each bound up or down so that the right part of all requests lies above it. In
     // proportion, since sizes differ a hundredfold.
@@ -117,6 +123,8 @@
   // Weights of one request in the moving estimates.
   static constexpr double kMeanRate = 0.05;
   static constexpr double kBoundRate = 0.05;
+  // The bounds are exact over so many requests and follow from there.
+  static constexpr std::size_t kFirstSizes = 50;
   // The platform asks that each size is served half as often as its kind. The sizes are estimates
   // and some answers are broken off later, so more is owed.
   static constexpr double kOwedPart = 0.7;
@@ -125,6 +133,7 @@
 
   double m_mean = 0;
   std::array<double, 2> m_bounds{};
+  std::vector<double> m_first;  ///< ordered
   std::array<Account, kSizeGroups> m_accounts{};
   TimePoint m_at{};
   std::array<SizeCounts, kSizeGroups> m_counts;
--- a/test/gateway-size-balance-test.cc
+++ b/test/gateway-size-balance-test.cc
@@ -24,6 +24,18 @@
   BOOST_TEST(counts[1] < kRequests * 0.23);
 }
 
+// Guards against groups that are wrong for long after a start with an unusual request.
+BOOST_AUTO_TEST_CASE(GroupsHoldSoonAfterTheStart) {
+  SizeBalance balance;
+  balance.Observe(100'000);
+  std::array<int, kSizeGroups> counts{};
+  for (int i = 0; i < 100; ++i)
+    ++counts.at(static_cast<std::size_t>(balance.Observe(100 + i * 37 % 100)));
+  BOOST_TEST(counts[2] >= 5);
+  BOOST_TEST(counts[1] >= 10);
+  BOOST_TEST(counts[0] >= 50);
+}
+
 // Guards against a size that stays behind its kind for as long as overload lasts.
 BOOST_AUTO_TEST_CASE(RefusedSizeIsOwedItsPart) {
   SizeBalance balance;
