Tell sizes apart by route instead of by rank and objective

Callers would see: large requests of one route starve while those of another are counted in their place.

Cause: a kind of request was a service with a rank and an objective. Routes with the same objective fall together when an organisation's own rank replaces the route's, and all of the largest are then those of the longer kind.

Change: work carries the name of its route to the coordinator, as a new field at the end of its message. load_by_size and gateway_requests_by_size name the route.

Tests: SizesAreToldApartByRoute, which fails on the code before (routes share one account); the codec's test covers the field.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -155,6 +155,7 @@
   Work work;
   work.id = m_request.id;
   work.service = m_service;
+  work.route = m_route->name;
   if (m_organisation != nullptr) work.organisation = m_organisation->id;
   work.rank = m_organisation != nullptr && m_organisation->rank
                   ? std::min(*m_organisation->rank, m_route->rank)
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -19,7 +19,7 @@
   };
   LogEvent(EventId::kLoadBySize, {{"service", report.service.Text()},
                                   {"rank", std::int64_t{report.rank}},
-                                  {"objective_ms", std::int64_t{report.objective.count()}},
+                                  {"route", report.route},
                                   {"size", std::string(NameOf(report.size))},
                                   {"offered", count("offered")},
                                   {"granted", count("granted")},
--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -104,7 +104,7 @@
                              ToMillis(work.deadline - m_now), work.prompt_tokens,
                              work.output_tokens, work.max_gap.count(), work.patience.count(),
                              m_builder.CreateVector(excluded), work.quota_cost, work.fingerprint,
-                             work.is_repeat, work.may_repeat);
+                             work.is_repeat, work.may_repeat, Put(work.route));
   }
 
   FlatBufferBuilder& m_builder;
@@ -242,6 +242,7 @@
     work.fingerprint = t->fingerprint();
     work.is_repeat = t->is_repeat();
     work.may_repeat = t->may_repeat();
+    work.route = Text(t->route());
     return work;
   }
   static std::string Text(const flatbuffers::String* text) {
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -193,7 +193,8 @@
     VT_QUOTA_COST = 28,
     VT_FINGERPRINT = 30,
     VT_IS_REPEAT = 32,
-    VT_MAY_REPEAT = 34
+    VT_MAY_REPEAT = 34,
+    VT_ROUTE = 36
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *service() const {
@@ -218,6 +219,9 @@
   uint64_t fingerprint() const { return GetField<uint64_t>(VT_FINGERPRINT, 0); }
   bool is_repeat() const { return GetField<uint8_t>(VT_IS_REPEAT, 0) != 0; }
   bool may_repeat() const { return GetField<uint8_t>(VT_MAY_REPEAT, 0) != 0; }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_SERVICE) &&
@@ -235,7 +239,8 @@
            VerifyField<double>(verifier, VT_QUOTA_COST, 8) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_REPEAT, 1) &&
-           VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) && VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) && verifier.EndTable();
   }
 };
 
@@ -286,6 +291,9 @@
   void add_may_repeat(bool may_repeat) {
     fbb_.AddElement<uint8_t>(WorkT::VT_MAY_REPEAT, static_cast<uint8_t>(may_repeat), 0);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(WorkT::VT_ROUTE, route);
+  }
   explicit WorkTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -304,7 +312,7 @@
     int64_t output_tokens = 0, int64_t max_gap_ms = 0, int64_t patience_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     double quota_cost = 0.0, uint64_t fingerprint = 0, bool is_repeat = false,
-    bool may_repeat = false) {
+    bool may_repeat = false, flatbuffers::Offset<flatbuffers::String> route = 0) {
   WorkTBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_quota_cost(quota_cost);
@@ -315,6 +323,7 @@
   builder_.add_remaining_ms(remaining_ms);
   builder_.add_objective_ms(objective_ms);
   builder_.add_age_ms(age_ms);
+  builder_.add_route(route);
   builder_.add_excluded(excluded);
   builder_.add_rank(rank);
   builder_.add_organisation(organisation);
@@ -332,16 +341,17 @@
     int64_t output_tokens = 0, int64_t max_gap_ms = 0, int64_t patience_ms = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     double quota_cost = 0.0, uint64_t fingerprint = 0, bool is_repeat = false,
-    bool may_repeat = false) {
+    bool may_repeat = false, const char *route = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto excluded__ =
       excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return bluebellpass::gateway::wire::CreateWorkT(
       _fbb, id__, service__, organisation__, rank, age_ms, objective_ms, remaining_ms,
       prompt_tokens, output_tokens, max_gap_ms, patience_ms, excluded__, quota_cost, fingerprint,
-      is_repeat, may_repeat);
+      is_repeat, may_repeat, route__);
 }
 
 struct RunT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -450,9 +450,8 @@
   m_metrics.Set("gateway_running", static_cast<double>(m_coordinator.Queue().RunningCount()));
   for (const SizeReport& report : m_coordinator.Queue().SizeReports()) {
     const std::string kind = "service=\"" + report.service.Text() + "\",rank=\"" +
-                             std::to_string(report.rank) + "\",objective_ms=\"" +
-                             std::to_string(report.objective.count()) + "\",size=\"" +
-                             std::string(NameOf(report.size)) + "\",result=\"";
+                             std::to_string(report.rank) + "\",route=\"" + report.route +
+                             "\",size=\"" + std::string(NameOf(report.size)) + "\",result=\"";
     for (const auto& [result, count] : report.counts)
       m_metrics.Set("gateway_requests_by_size", static_cast<double>(count),
                     kind + std::string(result) + "\"");
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -304,9 +304,9 @@
 std::vector<SizeReport> Scheduler::SizeReports() const {
   std::vector<SizeReport> reports;
   for (const auto& [kind, balance] : m_balances) {
-    const auto& [service, rank, objective] = kind;
+    const auto& [service, route, rank] = kind;
     for (const SizeGroup size : {SizeGroup::kSmall, SizeGroup::kLarge, SizeGroup::kLargest})
-      reports.push_back({service, rank, objective, size, balance.Counts(size)});
+      reports.push_back({service, route, rank, size, balance.Counts(size)});
   }
   return reports;
 }
@@ -370,7 +370,7 @@
   SpeedModel speed;
   speed.reading_ratio = m_reading_ratio;
   waiting.cost_ms = CostOf(work, speed);
-  waiting.balance = &m_balances[WorkKind{work.service, work.rank, work.objective}];
+  waiting.balance = &m_balances[WorkKind{work.service, work.route, work.rank}];
   const auto tokens =
       static_cast<double>(work.prompt_tokens + kOutputWeight * work.output_tokens) + 1;
   waiting.size = waiting.balance->Observe(tokens);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -23,6 +23,7 @@
   AttemptId id;
   InstanceId home;  ///< instance that holds the request and will send it
   ServiceName service;
+  std::string route;  ///< name; requests of a route are of one kind
   OrganisationId organisation;
   int rank = 0;  ///< 0 is the most urgent
   TimePoint arrived;
@@ -116,8 +117,8 @@
 /// Results of the requests of one kind and size.
 struct SizeReport {
   ServiceName service;
+  std::string route;
   int rank = 0;
-  Millis objective{0};
   SizeGroup size = SizeGroup::kSmall;
   SizeCounts counts;
 };
@@ -227,7 +228,7 @@
     SizeGroup size = SizeGroup::kSmall;
   };
   /// Work of one kind, to tell large requests from small ones.
-  using WorkKind = std::tuple<ServiceName, int, Millis>;
+  using WorkKind = std::tuple<ServiceName, std::string, int>;
   struct Waiting {
     Work work;
     double cost_ms = 0;  ///< time in a place of a fast backend server
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -27,6 +27,7 @@
   work.fingerprint = 77;
   work.is_repeat = true;
   work.may_repeat = true;
+  work.route = "questions";
   return work;
 }
 
@@ -81,6 +82,7 @@
   BOOST_TEST(work.fingerprint == expected.fingerprint);
   BOOST_TEST(work.is_repeat);
   BOOST_TEST(work.may_repeat);
+  BOOST_TEST(work.route == expected.route);
   const RunReport& report = std::get<ReleaseRunMessage>(messages[3]).report;
   BOOST_TEST((report.outcome == RunOutcome::kLost));
   BOOST_TEST((report.first_event == Millis{90}));
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -345,4 +345,24 @@
   BOOST_TEST((last.refusals[0].reason == RefusalReason::kTooLate));
 }
 
+// Guards against routes of the same rank and objective that share size groups, in which one of them
+// has all of the large requests.
+BOOST_FIXTURE_TEST_CASE(SizesAreToldApartByRoute, Fixture) {
+  scheduler.SetBackend(BackendOf("a"), &engines);
+  for (int i = 0; i < 200; ++i) {
+    Work work = WorkOf("w" + std::to_string(i), 0, 500, i % 20 < 2 ? 40 : 10);
+    work.route = "labels";
+    if (i % 2 == 0) {
+      work.route = "reports";
+      work.output_tokens *= 100;
+    }
+    scheduler.Add(work);
+  }
+  std::map<std::string, std::uint64_t> largest;
+  for (const SizeReport& report : scheduler.SizeReports())
+    if (report.size == SizeGroup::kLargest) largest[report.route] = report.counts.at("offered");
+  BOOST_TEST(largest["labels"] > 5U);
+  BOOST_TEST(largest["reports"] > 5U);
+}
+
 }  // namespace bluebellpass::gateway
--- a/test/standins/load-play.cc
+++ b/test/standins/load-play.cc
@@ -179,6 +179,7 @@
     Work work;
     work.id = gateway::AttemptId(id);
     work.service = gateway::ServiceName("s");
+    work.route = kind.name;
     work.rank = kind.rank;
     work.arrived = now;
     work.objective = kind.objective;
