Give up backend servers that send bytes without end

Callers would see: a wait until the deadline, and an instance that runs out of memory, when a backend server sends bytes that are no answer until its caller closes.

Cause: heads were bounded, but not the body of a failure or of an unsigned response (kept whole until its end), an event of a stream, the line before a chunk, or the body of a skipped response.

Change: 1 MB for a failure's body and for an event, 4 MB in total for skipped responses, and the limit of heads for the line before a chunk. The run then counts as malformed; the connection is closed and the caller told.

Test: gateway-stop-test, BytesWithoutEndAreGivenUp, with a real process and seven places in which the bytes come.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -26,6 +26,8 @@
 constexpr Millis kBackpressurePeriod{20};
 // Longer answers that are no streams are passed on in parts.
 constexpr std::size_t kMaxWholeAnswer = 4U << 20U;
+// A failure's body or an event of a stream that is larger has no end.
+constexpr std::size_t kMaxUnfinished = 1U << 20U;
 constexpr std::int64_t kDefaultOutputTokens = 200;
 // Fewer pauses between events say little about a backend server's speed.
 constexpr std::size_t kLeastGaps = 4;
@@ -270,6 +272,7 @@
   const bool is_answer = IsSuccess(m_reply_head.status) && reply.has_id && reply.has_seal;
   if (is_answer && m_route->is_stream) return PassStream(bytes);
   m_reply_body.append(bytes);
+  if (!is_answer && m_reply_body.size() > kMaxUnfinished) return OnCallEnd(CallEnd::kMalformed);
   if (!is_answer || m_reply_body.size() <= kMaxWholeAnswer) return;
   if (!HasAnswerStarted()) {
     m_exchange->Start(m_reply_head.status, m_context.protocol.EncodeReply(m_reply_head));
@@ -284,6 +287,7 @@
   const TimePoint now = m_context.loop.Now();
   const std::size_t before = m_events.EventCount();
   const std::string_view whole = m_events.Add(bytes);
+  if (m_events.PartialBytes() > kMaxUnfinished) return OnCallEnd(CallEnd::kMalformed);
   if (whole.empty()) return;
   if (!HasAnswerStarted()) {
     m_exchange->Start(m_reply_head.status, m_context.protocol.EncodeReply(m_reply_head));
--- a/src/kernel/http1-pool.cc
+++ b/src/kernel/http1-pool.cc
@@ -12,6 +12,8 @@
 constexpr Millis kSweepPeriod{1'000};
 // Redundant responses that are skipped before the connection is given up.
 constexpr int kMaxSkipped = 4;
+// Body bytes of skipped responses, above which the peer is taken to send without end.
+constexpr std::size_t kMaxSkippedBytes = 4U << 20U;
 
 /// @return the server's idle time of a Keep-Alive field, or nullopt
 std::optional<Millis> IdleTimeOf(const HttpHead& head) {
@@ -172,6 +174,7 @@
               if (m_is_skipping) ++m_pool->stats.unexpected_bytes;
             },
             [this](std::string_view bytes) {
+              if (m_is_skipping) m_skipped_bytes += bytes.size();
               if (!m_is_skipping && m_events.on_body) m_events.on_body(bytes);
             }};
   }
@@ -195,7 +198,8 @@
       status = m_parser.Parse({});
       if (alive.expired()) return;
     }
-    if (status == ParseStatus::kFailed) return Finish(CallEnd::kMalformed);
+    if (status == ParseStatus::kFailed || m_skipped_bytes > kMaxSkippedBytes)
+      return Finish(CallEnd::kMalformed);
     if (status == ParseStatus::kMessageEnd) FinishWhole();
   }
 
@@ -245,6 +249,7 @@
   bool m_is_skipping = false;
   bool m_has_no_body = false;
   int m_skipped = 0;
+  std::size_t m_skipped_bytes = 0;
   Millis m_idle_time{0};
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/kernel/http1.cc
+++ b/src/kernel/http1.cc
@@ -216,6 +216,11 @@
     if (taken == 0) break;
   }
   impl.buffered = std::string(input.substr(used));
+  // What is not taken is part of a head or of the line before a chunk.
+  if (status == ParseStatus::kNeedMore && impl.buffered.size() > impl.max_header_bytes) {
+    impl.error = "line without end";
+    return ParseStatus::kFailed;
+  }
   return status;
 }
 
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -3,12 +3,15 @@
 #include <fstream>
 
 #include "cluster/process.h"
+#include "kernel/h2o.h"
 #include "kernel/http1-pool.h"
+#include "kernel/tcp-stream.h"
 #include "platform/names.h"
 #include "soak/engine-standin.h"
 #include "soak/store-standin.h"
 
-/// Start and graceful shutdown of a real gateway process.
+/// Start and graceful shutdown of a real gateway process, and what it does with a backend server
+/// that sends without end.
 
 namespace bluebellpass::test {
 namespace {
@@ -21,6 +24,61 @@
 constexpr Millis kLate{3'200};
 constexpr Millis kLongWork{5'000};
 
+/// A backend server that answers each request with a preface and then with bytes without end, until
+/// the caller closes.
+class EndlessServer {
+ public:
+  EndlessServer(Loop& loop, std::string preface) : m_loop(loop), m_preface(std::move(preface)) {
+    const Listener listener = OpenListener(loop, {"127.0.0.1", 0}, 16);
+    m_listener = listener.socket;
+    address = listener.address;
+    m_listener->data = this;
+    h2o_socket_read_start(m_listener, &EndlessServer::OnAccept);
+  }
+  ~EndlessServer() { h2o_socket_close(m_listener); }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  /// Sends on all connections that take it.
+  void SendOn() {
+    constexpr std::size_t kPart = 64U << 10U;
+    for (const auto& stream : m_streams) {
+      if (!stream->IsOpen() || stream->PendingBytes() > 0) continue;
+      stream->Write(std::string(kPart, 'x'));
+      sent_bytes += kPart;
+    }
+  }
+  bool HasOpen() const {
+    return std::any_of(m_streams.begin(), m_streams.end(),
+                       [](const auto& stream) { return stream->IsOpen(); });
+  }
+
+  Address address;
+  std::size_t sent_bytes = 0;
+
+ private:
+  static void OnAccept(h2o_socket_t* listener, const char* error) {
+    if (error != nullptr) return;
+    auto* self = static_cast<EndlessServer*>(listener->data);
+    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+    if (socket == nullptr) return;
+    const auto stream = TcpStream::Accept(self->m_loop, socket, KeepAlive{});
+    stream->Read([self, weak = std::weak_ptr(stream)](std::string_view) {
+      if (const auto taken = weak.lock()) {
+        taken->Write(self->m_preface);
+        self->m_streams.push_back(taken);
+      }
+    });
+    self->m_accepted.push_back(stream);
+  }
+
+  Loop& m_loop;
+  std::string m_preface;
+  h2o_socket_t* m_listener = nullptr;
+  std::vector<std::shared_ptr<TcpStream>> m_accepted;
+  std::vector<std::shared_ptr<TcpStream>> m_streams;  ///< that have sent a request
+};
+
 struct Fixture {
   Loop loop;
   StoreStandin store{loop, 1};
@@ -149,4 +207,42 @@
   BOOST_TEST(code == 0);
 }
 
+// Guards against a backend server that sends no answer but bytes without end: they would fill the
+// memory, and the caller would wait until its deadline.
+BOOST_FIXTURE_TEST_CASE(BytesWithoutEndAreGivenUp, Fixture) {
+  WaitForService();
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string id = std::string(names::kAttempt) + ": endless";
+  const std::vector<std::string> prefaces = {
+      head + "X-Field: ",                                         // a head
+      head + "\r\n",                                              // a body until the end
+      head + "Content-Length: 9999999999\r\n\r\n",                // a body of great length
+      head + "Transfer-Encoding: chunked\r\n\r\n4;name=",         // the line before a chunk
+      head + "Transfer-Encoding: chunked\r\n\r\n77777777\r\n",    // a chunk
+      "HTTP/1.1 500 Error\r\n" + id + "\r\n\r\n",                 // a failure
+      head + std::string(names::kAttempt) + ": another\r\n\r\n",  // an answer to another request
+  };
+  for (const std::string& preface : prefaces) {
+    BOOST_TEST_CONTEXT(preface) {
+      EndlessServer endless(loop, preface);
+      store.Put(names::kBackendKind, "e1",
+                {{"service", "desk"},
+                 {"addr", endless.address.Text()},
+                 {"slots", 4},
+                 {"state", "ready"}});
+      RunUntil([] { return false; }, Millis{300});
+      const auto booking = Send("endless", true);
+      const auto is_over = [&] {
+        endless.SendOn();
+        return booking->end.has_value() && !endless.HasOpen();
+      };
+      // The route allows nine seconds.
+      BOOST_TEST(RunUntil(is_over, Millis{4'000}));
+      BOOST_TEST(endless.sent_bytes > 0U);
+      BOOST_TEST(booking->status == 502);
+    }
+  }
+  BOOST_TEST(!process.HasExited(nullptr));
+}
+
 }  // namespace bluebellpass::test
