--- a/src/gateway/size-balance.h
+++ b/src/gateway/size-balance.h
@@ -21,11 +21,12 @@
   kLargest,  ///< the largest tenth
 };
 inline constexpr std::size_t kSizeGroups = 3;
+inline constexpr std::array<std::string_view, kSizeGroups> kSizeNames = {"small", "large",
+                                                                         "largest"};
 
 /// @return the group's stable name in logs and metrics
 constexpr std::string_view NameOf(SizeGroup group) {
-  constexpr std::array<std::string_view, kSizeGroups> kNames = {"small", "large", "largest"};
-  return kNames.at(static_cast<std::size_t>(group));
+  return kSizeNames.at(static_cast<std::size_t>(group));
 }
 
 /// How many requests of one kind and size came to each result, since the start.
--- a/test/gateway-size-balance-test.cc
+++ b/test/gateway-size-balance-test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 const TimePoint kStart{Millis{1'000'000}};
+constexpr int kRequests = 20'000;
 
 }  // namespace
 
@@ -14,7 +15,6 @@
 BOOST_AUTO_TEST_CASE(GroupsFollowWhatArrives) {
   SizeBalance balance;
   std::array<int, kSizeGroups> counts{};
-  constexpr int kRequests = 20'000;
   // Powers of the same base spread evenly over the logarithm, from 1 to 1,000.
   for (int i = 0; i < kRequests; ++i)
     ++counts.at(static_cast<std::size_t>(balance.Observe(std::pow(10.0, i * 7 % 100 * 0.03))));
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -23,6 +23,7 @@
 // Later than the time for which a stopping gateway takes requests, and within its grace time.
 constexpr Millis kLate{3'200};
 constexpr Millis kLongWork{5'000};
+constexpr std::size_t kEndlessPart = 64U << 10U;
 
 /// A backend server that answers each request with a preface and then with bytes without end, until
 /// the caller closes.
@@ -41,11 +42,10 @@
 
   /// Sends on all connections that take it.
   void SendOn() {
-    constexpr std::size_t kPart = 64U << 10U;
     for (const auto& stream : m_streams) {
       if (!stream->IsOpen() || stream->PendingBytes() > 0) continue;
-      stream->Write(std::string(kPart, 'x'));
-      sent_bytes += kPart;
+      stream->Write(std::string(kEndlessPart, 'x'));
+      sent_bytes += kEndlessPart;
     }
   }
   bool HasOpen() const {
--- a/test/standins/load-play.cc
+++ b/test/standins/load-play.cc
@@ -21,6 +21,8 @@
 
 constexpr Millis kTick{1};
 constexpr Millis kLeastPatience{2'000};
+// Of the day with the burst of questions; a third of the fleet.
+constexpr std::size_t kBurstEngines = 20;
 // An engine that resets connections does so after a round trip.
 constexpr Millis kResetAfter{3};
 
@@ -403,9 +405,9 @@
                    {"label", 2, 72, 0.32, 0.096, 1'800, 1.0, 6'870, 22, 1.5, 224, Millis{400},
                     Millis{250}, Millis{3'000}}};
   options.bursts = {{"question", 4, 4, 14}};
-  constexpr std::size_t kEngines = 20;
-  for (std::size_t i = 0; i < kEngines; ++i) options.slowness.push_back(i % 3 == 2 ? 4.6 : 1.0);
-  const auto lost = static_cast<std::size_t>(std::lround(lost_share * kEngines));
+  for (std::size_t i = 0; i < kBurstEngines; ++i)
+    options.slowness.push_back(i % 3 == 2 ? 4.6 : 1.0);
+  const auto lost = static_cast<std::size_t>(std::lround(lost_share * kBurstEngines));
   if (lost > 0) options.faults = {{PlayFault::Manner::kLost, 0, lost, 5, 12}};
   return options;
 }
