Exempt repeats from the bound on length, and bound the lines of sums

Callers would see: a stream that its engine broke off midway, cut instead of resumed while places are scarce. The expected output of a repeat counts the whole answer, of which part may have been passed on already, so it was found too long for its deadline. Found by reading the change.

Change: repeats are not refused for their length. load_by_size is written for 60 sizes a second at most, in turn, so that a configuration with many routes leaves room for the lines about requests.

Test: WorkThatCannotEndInTimeGetsNoScarcePlace has a resumed request, which was refused before.

--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Millis kSumsPeriod{1'000};
+// Leaves most of the log's bound to other lines when there are many routes.
+constexpr int kMostSums = 60;
 
 void WriteSums(const SizeReport& report) {
   const auto count = [&](std::string_view result) {
@@ -69,8 +71,13 @@
   if (now < m_next_sums) return;
   m_next_sums = now + kSumsPeriod;
   std::vector<SizeReport> sums = queue.SizeReports();
-  for (std::size_t i = 0; i < sums.size(); ++i)
-    if (m_sums.size() != sums.size() || m_sums[i].counts != sums[i].counts) WriteSums(sums[i]);
+  int written = 0;
+  for (std::size_t n = 0; n < sums.size() && written < kMostSums; ++n) {
+    const std::size_t i = (m_first_sum + n) % sums.size();
+    if (m_sums.size() == sums.size() && m_sums[i].counts == sums[i].counts) continue;
+    WriteSums(sums[i]);
+    if (++written == kMostSums) m_first_sum = i + 1;
+  }
   m_sums = std::move(sums);
 }
 
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -238,7 +238,7 @@
   }
 }
 
-void Scheduler::Account(const Run& run, RunOutcome outcome, TimePoint now) {
+void Scheduler::NoteEnd(const Run& run, RunOutcome outcome, TimePoint now) {
   if (run.balance == nullptr) return;
   run.balance->Count(run.size, NameOf(outcome));
   if (outcome == RunOutcome::kCompleted) return;
@@ -265,7 +265,7 @@
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
   Judge(found->second, report, now);
-  Account(found->second, report.outcome, now);
+  NoteEnd(found->second, report.outcome, now);
   EndReading(found->second);
   const Run run = std::move(found->second);
   m_runs.erase(found);
@@ -554,8 +554,10 @@
     const double first_ms = capacity.fastest.ReadingMs(work.prompt_tokens);
     const double waited_ms = MillisOf(now - work.arrived);
     const double left_ms = MillisOf(work.deadline - now);
-    // A run that is broken off at the deadline would take its place from several others.
-    const bool is_too_long = capacity.IsScarce() && CostOf(work, capacity.fastest) > left_ms;
+    // A run that is broken off at the deadline would take its place from several others. Part of a
+    // repeat may have been answered before.
+    const bool is_too_long =
+        capacity.IsScarce() && !work.is_repeat && CostOf(work, capacity.fastest) > left_ms;
     BackendState* state =
         capacity.free_places > 0 && !is_too_long ? Choose(work, capacity, is_late, now) : nullptr;
     if (state != nullptr && gate.TryStart(work, now)) {
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -281,7 +281,7 @@
   void Judge(const Run& run, const RunReport& report, TimePoint now);
   void JudgeSilentRuns(TimePoint now);
   /// Keeps the balance of sizes true when a run has ended.
-  static void Account(const Run& run, RunOutcome outcome, TimePoint now);
+  static void NoteEnd(const Run& run, RunOutcome outcome, TimePoint now);
   void EndReading(Run& run);
   void DecideService(const ServiceName& service, std::vector<Waiting*> queue, TimePoint now,
                      StartGate& gate, Decisions& decisions);
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -339,6 +339,9 @@
   BOOST_TEST(Granted() == std::vector<std::string>{"long"});
   scheduler.Add(WorkOf("next long", 0, 500, 4'000));
   scheduler.Add(WorkOf("short"));
+  Work resumed = WorkOf("resumed", 0, 500, 4'000);
+  resumed.is_repeat = true;
+  scheduler.Add(resumed);
   BOOST_TEST(Granted().empty());
   BOOST_REQUIRE(last.refusals.size() == 1);
   BOOST_TEST(last.refusals[0].id.Text() == "next long");
