End the process before in the soak when two faults start an instance again

Its log ends with "cannot bind: Address already in use".

Cause: a stop and a kill of the same instance overlapped, and both start it again. The second start spawned the new process before the one before had been ended by the assignment, so the new one could not bind and nothing ran. A platform does not start a second process beside a running one.

Ruled out: the gateway; the other three instances served all, and the process that failed to bind says so in its last line.

Change: the harness ends the process before.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -156,6 +156,8 @@
   }
 
   void StartGateway(GatewayNode& node) {
+    // Two faults may both start it again; the earlier process still holds its ports.
+    node.process.Kill();
     node.process = Process({m_options.gateway_binary, "gateway", "--settings", node.settings},
                            m_report.log_folder + "/" + node.name + ".log");
     node.is_paused = false;
