Split the names of decisions off the scheduler and share the raw test server

The server whose bytes a test writes itself stood in http1-pool-test and again in gateway-stop-test; it is test/raw-server.h now.

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -74,50 +74,6 @@
 
 }  // namespace
 
-std::string_view NameOf(RunOutcome outcome) {
-  switch (outcome) {
-    case RunOutcome::kNotRun:
-      return "not_run";
-    case RunOutcome::kCompleted:
-      return "completed";
-    case RunOutcome::kFailed:
-      return "failed";
-    case RunOutcome::kLost:
-      return "lost";
-    case RunOutcome::kCancelled:
-      return "cancelled";
-  }
-  return "not_run";
-}
-
-std::string_view NameOf(RefusalReason reason) {
-  switch (reason) {
-    case RefusalReason::kOverloaded:
-      return "overloaded";
-    case RefusalReason::kTooLate:
-      return "too_late";
-    case RefusalReason::kNoBackend:
-      return "no_backend";
-    case RefusalReason::kQuota:
-      return "quota";
-    case RefusalReason::kQuarantined:
-      return "quarantined";
-  }
-  return "overloaded";
-}
-
-std::string_view NameOf(FailureLimit limit) {
-  switch (limit) {
-    case FailureLimit::kNone:
-      return "none";
-    case FailureLimit::kOneAtATime:
-      return "one_at_a_time";
-    case FailureLimit::kTrialsOnly:
-      return "trials_only";
-  }
-  return "none";
-}
-
 void Scheduler::SetShare(std::size_t index, std::size_t count) {
   m_share_index = index;
   m_share_count = std::max<std::size_t>(count, 1);
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -1,12 +1,13 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
+#include <set>
 
 #include "cluster/process.h"
-#include "kernel/h2o.h"
 #include "kernel/http1-pool.h"
-#include "kernel/tcp-stream.h"
 #include "platform/names.h"
+#include "raw-server.h"
 #include "soak/engine-standin.h"
 #include "soak/store-standin.h"
 
@@ -29,54 +30,28 @@
 /// the caller closes.
 class EndlessServer {
  public:
-  EndlessServer(Loop& loop, std::string preface) : m_loop(loop), m_preface(std::move(preface)) {
-    const Listener listener = OpenListener(loop, {"127.0.0.1", 0}, 16);
-    m_listener = listener.socket;
-    address = listener.address;
-    m_listener->data = this;
-    h2o_socket_read_start(m_listener, &EndlessServer::OnAccept);
-  }
-  ~EndlessServer() { h2o_socket_close(m_listener); }
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
+  EndlessServer(Loop& loop, std::string preface) : m_server(loop), m_preface(std::move(preface)) {}
 
-  /// Sends on all connections that take it.
+  Address Listening() const { return m_server.address; }
+  /// Sends on all connections that have sent a request and take more.
   void SendOn() {
-    for (const auto& stream : m_streams) {
-      if (!stream->IsOpen() || stream->PendingBytes() > 0) continue;
+    for (std::size_t i = 0; i < m_server.streams.size(); ++i) {
+      const auto& stream = m_server.streams[i];
+      if (!stream->IsOpen() || stream->PendingBytes() > 0 || m_server.received[i].empty()) continue;
+      if (m_begun.insert(i).second) stream->Write(m_preface);
       stream->Write(std::string(kEndlessPart, 'x'));
-      sent_bytes += kEndlessPart;
     }
   }
+  bool HasBegun() const { return !m_begun.empty(); }
   bool HasOpen() const {
-    return std::any_of(m_streams.begin(), m_streams.end(),
-                       [](const auto& stream) { return stream->IsOpen(); });
+    return std::any_of(m_begun.begin(), m_begun.end(),
+                       [this](std::size_t i) { return m_server.streams[i]->IsOpen(); });
   }
 
-  Address address;
-  std::size_t sent_bytes = 0;
-
  private:
-  static void OnAccept(h2o_socket_t* listener, const char* error) {
-    if (error != nullptr) return;
-    auto* self = static_cast<EndlessServer*>(listener->data);
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (socket == nullptr) return;
-    const auto stream = TcpStream::Accept(self->m_loop, socket, KeepAlive{});
-    stream->Read([self, weak = std::weak_ptr(stream)](std::string_view) {
-      if (const auto taken = weak.lock()) {
-        taken->Write(self->m_preface);
-        self->m_streams.push_back(taken);
-      }
-    });
-    self->m_accepted.push_back(stream);
-  }
-
-  Loop& m_loop;
+  RawServer m_server;
   std::string m_preface;
-  h2o_socket_t* m_listener = nullptr;
-  std::vector<std::shared_ptr<TcpStream>> m_accepted;
-  std::vector<std::shared_ptr<TcpStream>> m_streams;  ///< that have sent a request
+  std::set<std::size_t> m_begun;  ///< connections that the preface was sent on
 };
 
 struct Fixture {
@@ -227,7 +202,7 @@
       EndlessServer endless(loop, preface);
       store.Put(names::kBackendKind, "e1",
                 {{"service", "desk"},
-                 {"addr", endless.address.Text()},
+                 {"addr", endless.Listening().Text()},
                  {"slots", 4},
                  {"state", "ready"}});
       RunUntil([] { return false; }, Millis{300});
@@ -238,7 +213,7 @@
       };
       // The route allows nine seconds.
       BOOST_TEST(RunUntil(is_over, Millis{4'000}));
-      BOOST_TEST(endless.sent_bytes > 0U);
+      BOOST_TEST(endless.HasBegun());
       BOOST_TEST(booking->status == 502);
     }
   }
--- a/test/http1-pool-test.cc
+++ b/test/http1-pool-test.cc
@@ -2,50 +2,15 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "kernel/h2o.h"
 #include "kernel/http1-server.h"
 #include "kernel/loop.h"
+#include "raw-server.h"
 
 namespace bluebellpass {
 namespace {
 
 constexpr int kMaxTurns = 2'000;
 
-/// A server whose bytes the test writes itself.
-class RawServer {
- public:
-  explicit RawServer(Loop& loop) : m_loop(loop) {
-    const Listener listener = OpenListener(loop, {"127.0.0.1", 0}, 16);
-    m_listener = listener.socket;
-    address = listener.address;
-    m_listener->data = this;
-    h2o_socket_read_start(m_listener, &RawServer::OnAccept);
-  }
-  ~RawServer() { h2o_socket_close(m_listener); }
-  RawServer(const RawServer&) = delete;
-  RawServer& operator=(const RawServer&) = delete;
-
-  Address address;
-  std::vector<std::shared_ptr<TcpStream>> streams;
-  std::vector<std::string> received;
-
- private:
-  static void OnAccept(h2o_socket_t* listener, const char* error) {
-    if (error != nullptr) return;
-    auto* self = static_cast<RawServer*>(listener->data);
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (socket == nullptr) return;
-    const std::size_t index = self->streams.size();
-    self->received.emplace_back();
-    self->streams.push_back(TcpStream::Accept(self->m_loop, socket, KeepAlive{}));
-    self->streams.back()->Read(
-        [self, index](std::string_view bytes) { self->received[index].append(bytes); });
-  }
-
-  Loop& m_loop;
-  h2o_socket_t* m_listener = nullptr;
-};
-
 struct CallResult {
   int status = 0;
   std::string id;
