Name the results offered and granted once

The scheduler counted under these words and the log looked them up by the same words written again; a difference would have read as zero.

--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -330,7 +330,7 @@
   const auto tokens =
       static_cast<double>(work.prompt_tokens + kOutputWeight * work.output_tokens) + 1;
   waiting.size = waiting.balance->Observe(tokens);
-  waiting.balance->Count(waiting.size, "offered");
+  waiting.balance->Count(waiting.size, kOffered);
   const double size = std::min(tokens / waiting.balance->MeanSize(), kLargestRelativeSize);
   waiting.value = std::pow(kRankWeight, work.rank) * (kFixedValue + (1 - kFixedValue) * size);
 }
@@ -524,7 +524,7 @@
            state->backend.id,
            {order.size(), capacity.places, capacity.free_places, waited_ms, waiting->size, raise}});
       Start(work, *state, now);
-      waiting->balance->Count(waiting->size, "granted");
+      waiting->balance->Count(waiting->size, kGranted);
       Run& run = m_runs.at(work.id);
       run.balance = waiting->balance;
       run.size = waiting->size;
--- a/src/gateway/size-balance.h
+++ b/src/gateway/size-balance.h
@@ -31,6 +31,9 @@
 
 /// How many requests of one kind and size came to each result, since the start.
 using SizeCounts = std::map<std::string_view, std::uint64_t>;
+// Results besides the reasons of refusals and the outcomes of runs.
+inline constexpr std::string_view kOffered = "offered";
+inline constexpr std::string_view kGranted = "granted";
 
 /// Keeps account of how often the requests of each size of a kind are served, so that large ones
 /// are not put off for good by small ones, which are worth more for the time that they take. Sizes
