Log each crash of a backend server with the requests that are blamed

A death that was counted left no line, so the log could not tell whether deaths go unnoticed, are counted against the wrong request, or are forgotten with the coordinator.

Ruled out: from the existing lines, none of the three.

Change: event 617 backend_crashed with the backend server, the blamed requests, the number of runs without an event and the time until the confirmation. No decision changes.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -84,6 +84,7 @@
   kBackendsListed = 614,
   kBackendLimited = 615,
   kLoadBySize = 616,
+  kBackendCrashed = 617,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -114,7 +114,8 @@
       !m_possible_deaths.contains(*backend)) {
     // Of all runs that a death interrupts, the one that started last is the likely cause.
     if (const RequestInfo* newest = m_scheduler.NewestPrefilling(*backend))
-      m_possible_deaths[*backend] = {newest->fingerprint, now};
+      m_possible_deaths[*backend] = {newest->fingerprint, now, newest->id,
+                                     m_scheduler.PrefillingOn(*backend)};
   }
   if (report.outcome == RunOutcome::kCompleted) {
     if (const RequestInfo* request = m_scheduler.FindRunning(id))
@@ -128,8 +129,12 @@
   if (found == m_possible_deaths.end()) return;
   const PossibleDeath death = found->second;
   m_possible_deaths.erase(found);
-  if (now - death.at < kDeathConfirmationTime)
-    m_suspects.OnBackendDeath({Fingerprint(death.fingerprint)}, now);
+  if (now - death.at >= kDeathConfirmationTime) return;
+  m_crashes.push_back({id,
+                       {death.request},
+                       death.runs_without_event,
+                       std::chrono::duration_cast<Millis>(now - death.at)});
+  m_suspects.OnBackendDeath({Fingerprint(death.fingerprint)}, now);
 }
 
 void Coordinator::SyncRequests(const InstanceId& home, std::vector<RequestInfo> waiting,
@@ -150,6 +155,7 @@
       m_quota.ReleaseReservation(refusal.organisation, refusal.quota_cost);
   decisions.refusals.insert(decisions.refusals.end(), m_refusals.begin(), m_refusals.end());
   m_refusals.clear();
+  decisions.crashes = std::exchange(m_crashes, {});
   return decisions;
 }
 
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -64,6 +64,8 @@
   struct PossibleDeath {
     std::uint64_t fingerprint = 0;  ///< of the request that may have caused it
     TimePoint at;
+    AttemptId request;
+    int runs_without_event = 0;
   };
 
   const Organisation* FindOrganisation(const OrganisationId& id) const;
@@ -80,6 +82,7 @@
   Suspects m_suspects{[this] { return ++m_last_stamp; }};
   std::vector<DelayedRequest> m_delayed;
   std::vector<Refusal> m_refusals;  ///< made on submission; returned by the next Decide
+  std::vector<BackendCrash> m_crashes;  ///< confirmed since the last Decide
 };
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -13,6 +13,8 @@
 constexpr Millis kResultsPeriod{1'000};
 // Leaves most of the log's rate limit to other lines when there are many routes.
 constexpr int kMaxResultLinesPerPeriod = 60;
+// Bytes of request ids in the line of one crash.
+constexpr std::size_t kMaxSuspectsText = 256;
 
 void WriteResults(const SizeGroupResults& group) {
   const auto count = [&](std::string_view result) {
@@ -68,6 +70,17 @@
                                      {"raise_percent", as_int(refusal.inputs.boost * 100)},
                                      {"retry_after_ms", refusal.retry_after.count()}});
   }
+  for (const BackendCrash& crash : decisions.crashes) {
+    std::string suspects;
+    for (const AttemptId& id : crash.suspects) {
+      if (suspects.size() > kMaxSuspectsText) break;
+      suspects += (suspects.empty() ? "" : ",") + id.Text();
+    }
+    LogEvent(EventId::kBackendCrashed, {{"backend", crash.backend.Text()},
+                                        {"suspects", suspects},
+                                        {"without_event", as_int(crash.runs_without_event)},
+                                        {"confirmed_after_ms", crash.confirmed_after.count()}});
+  }
   if (now < m_next_results_at) return;
   m_next_results_at = now + kResultsPeriod;
   std::vector<SizeGroupResults> results = scheduler.ResultsBySize();
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -275,6 +275,11 @@
   return found == m_backends.end() ? 0 : found->second.running;
 }
 
+int Scheduler::PrefillingOn(const BackendId& id) const {
+  const auto found = m_backends.find(id);
+  return found == m_backends.end() ? 0 : found->second.prefilling;
+}
+
 int Scheduler::GrantableSlots(const TrackedBackend& state) const {
   const auto slots = static_cast<std::size_t>(std::max(state.backend.slots, 1));
   if (m_share_count == 1) return static_cast<int>(slots);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -108,10 +108,19 @@
   double mean_failure_rate = 0;  ///< over the backend servers of the service
 };
 
+/// A crash of a backend server, with the requests that may have caused it.
+struct BackendCrash {
+  BackendId backend;
+  std::vector<AttemptId> suspects;
+  int runs_without_event = 0;  ///< when the first connection was lost
+  Millis confirmed_after{0};   ///< time from the first lost connection to the confirmation
+};
+
 struct Decisions {
   std::vector<Grant> grants;
   std::vector<Refusal> refusals;
   std::vector<FailureLimitChange> limit_changes;
+  std::vector<BackendCrash> crashes;
 };
 
 /// Result counts of the requests of one kind and size group.
@@ -169,6 +178,8 @@
   /// @return the request granted last among those on a backend server that have had no event, or
   /// null
   const RequestInfo* NewestPrefilling(const BackendId& id) const;
+  /// @return number of runs on a backend server that have had no event
+  int PrefillingOn(const BackendId& id) const;
   /// @return the granted request, or null
   const RequestInfo* FindRunning(const AttemptId& id) const;
   /// @return the backend server of a granted request, or null
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -99,6 +99,8 @@
               "the limit on requests to a backend server changed because of its failure rate"},
     EventInfo{kLoadBySize, "load_by_size", kInfo,
               "result counts of the requests of one kind and size group since the start"},
+    EventInfo{kBackendCrashed, "backend_crashed", kWarning,
+              "a backend server crashed while requests ran on it"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
