Reproduce a crashing request that is never quarantined

A request that crashes engines is sent to engine after engine when other requests read their prompts beside it.

Ruled out: nothing yet; no code changed.

Change: a simulation of engines that read prompts in order of arrival and crash when they begin the response to one request, at a load at which several runs per engine have had no event.

--- /dev/null
+++ b/test/gateway-crash-test.cc
@@ -0,0 +1,195 @@
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <random>
+
+#include "gateway/coordinator.h"
+
+/// Requests that crash the engines that begin to run them.
+
+namespace bluebellpass::gateway {
+namespace {
+
+const TimePoint kStart{Millis{1'000'000}};
+// Bounds of the platform: so long after the third crash, at most so many further sends.
+constexpr std::size_t kCrashesBeforeBound = 3;
+constexpr Millis kStableWindow{3'000};
+constexpr int kMaxLateSends = 3;
+
+constexpr Millis kStep{5};
+constexpr Millis kPlayLength{24'000};
+constexpr int kEngines = 8;
+constexpr int kSlots = 6;
+constexpr Millis kPrefillTime{60};
+constexpr Millis kDecodeTime{100};
+constexpr Millis kDownTime{3'200};
+constexpr Millis kCrasherPeriod{400};
+constexpr double kSoundPerSecond = 240;
+constexpr std::uint64_t kCrasher = 99;
+
+/// Simulates engines that read prompts one at a time in order of arrival. An engine that begins the
+/// response to the crashing request crashes and comes back some seconds later under a new id.
+class CrashSimulation {
+ public:
+  explicit CrashSimulation(std::uint64_t seed) : m_random(seed) {
+    m_service.name = ServiceName("chat");
+    m_service.engine = EngineProperties{kSlots, 0, 5};
+    m_engines.resize(kEngines);
+    for (Engine& engine : m_engines) Register(engine);
+  }
+
+  void Run() {
+    for (; m_now < kStart + kPlayLength; m_now += kStep) {
+      AddArrivals();
+      for (Engine& engine : m_engines) Advance(engine);
+      const Decisions decisions = m_coordinator.Decide(m_now);
+      for (const Grant& grant : decisions.grants) Send(grant);
+      for (const Refusal& refusal : decisions.refusals)
+        if (refusal.reason == RefusalReason::kQuarantined && !IsCrasher(refusal.id))
+          ++m_sound_quarantined;
+    }
+  }
+
+  /// @return number of sends of the crashing request after the bound has begun
+  int LateSends() const {
+    if (m_crashes.size() < kCrashesBeforeBound) return 0;
+    const TimePoint bound = m_crashes[kCrashesBeforeBound - 1] + kStableWindow;
+    return static_cast<int>(
+        std::count_if(m_sends.begin(), m_sends.end(), [&](TimePoint at) { return at > bound; }));
+  }
+  std::size_t CrashCount() const { return m_crashes.size(); }
+  int SoundQuarantined() const { return m_sound_quarantined; }
+  int SoundServed() const { return m_sound_served; }
+
+ private:
+  struct Engine {
+    BackendId id;
+    std::optional<TimePoint> back_at;
+    std::deque<AttemptId> prefilling;
+    TimePoint prefill_end;
+    std::map<AttemptId, TimePoint> decoding;  ///< with the time of the last event
+  };
+
+  static bool IsCrasher(const AttemptId& id) { return id.Text().starts_with("crasher"); }
+
+  void Register(Engine& engine) {
+    engine.id = BackendId("e" + std::to_string(m_next_engine++));
+    Backend backend;
+    backend.id = engine.id;
+    backend.service = m_service.name;
+    backend.slots = kSlots;
+    m_coordinator.RequestScheduler().SetBackend(backend, &m_service);
+  }
+
+  void Submit(const std::string& id, std::uint64_t fingerprint) {
+    RequestInfo request;
+    request.id = AttemptId(id);
+    request.home = InstanceId("home");
+    request.service = m_service.name;
+    request.arrived = m_now;
+    request.latency_objective = Millis{1'000};
+    request.patience = Millis{4'000};
+    request.deadline = m_now + Millis{15'000};
+    request.prompt_tokens = 2'000;
+    request.output_tokens = 100;
+    request.fingerprint = fingerprint;
+    m_coordinator.Submit(std::move(request), m_now);
+  }
+
+  void AddArrivals() {
+    if ((m_now - kStart) % kCrasherPeriod == Millis{0})
+      Submit("crasher" + std::to_string(++m_next_request), kCrasher);
+    for (int count = m_sound_arrivals(m_random); count > 0; --count) {
+      const std::string id = "sound" + std::to_string(++m_next_request);
+      Submit(id, StableHash(id));
+    }
+  }
+
+  void Send(const Grant& grant) {
+    const auto found = std::find_if(m_engines.begin(), m_engines.end(), [&](const Engine& engine) {
+      return engine.id == grant.backend;
+    });
+    BOOST_REQUIRE((found != m_engines.end()));
+    if (found->back_at) {
+      m_coordinator.ReleaseRun(grant.id, {}, m_now);
+      m_coordinator.RequestScheduler().AvoidBackend(grant.backend, m_now + Millis{500});
+      return m_coordinator.OnBackendUnreachable(grant.backend, m_now);
+    }
+    if (IsCrasher(grant.id)) m_sends.push_back(m_now);
+    if (found->prefilling.empty()) found->prefill_end = m_now + kPrefillTime;
+    found->prefilling.push_back(grant.id);
+  }
+
+  void Advance(Engine& engine) {
+    if (engine.back_at) {
+      if (m_now < *engine.back_at) return;
+      m_coordinator.RequestScheduler().RemoveBackend(engine.id);
+      engine.back_at.reset();
+      Register(engine);
+    }
+    if (!engine.prefilling.empty() && m_now >= engine.prefill_end) {
+      const AttemptId id = engine.prefilling.front();
+      if (IsCrasher(id)) return Crash(engine);
+      engine.prefilling.pop_front();
+      engine.prefill_end = m_now + kPrefillTime;
+      engine.decoding.emplace(id, m_now + kDecodeTime);
+      m_coordinator.RequestScheduler().RecordFirstEvent(id, kPrefillTime, m_now);
+    }
+    RunReport report;
+    report.outcome = RunOutcome::kCompleted;
+    std::erase_if(engine.decoding, [&](const auto& run) {
+      if (m_now < run.second) return false;
+      m_coordinator.ReleaseRun(run.first, report, m_now);
+      ++m_sound_served;
+      return true;
+    });
+  }
+
+  void Crash(Engine& engine) {
+    m_crashes.push_back(m_now);
+    RunReport report;
+    report.outcome = RunOutcome::kFailed;
+    for (const auto& [id, end] : engine.decoding) m_coordinator.ReleaseRun(id, report, m_now);
+    report.outcome = RunOutcome::kLost;
+    // The homes of the runs report in any order.
+    std::shuffle(engine.prefilling.begin(), engine.prefilling.end(), m_random);
+    for (const AttemptId& id : engine.prefilling) m_coordinator.ReleaseRun(id, report, m_now);
+    engine.decoding.clear();
+    engine.prefilling.clear();
+    engine.back_at = m_now + kDownTime;
+  }
+
+  std::mt19937_64 m_random;
+  std::poisson_distribution<int> m_sound_arrivals{kSoundPerSecond * (kStep / Millis{1}) / 1'000};
+  Service m_service;
+  Coordinator m_coordinator;
+  std::vector<Engine> m_engines;
+  TimePoint m_now = kStart;
+  int m_next_engine = 0;
+  int m_next_request = 0;
+  std::vector<TimePoint> m_crashes;
+  std::vector<TimePoint> m_sends;  ///< of the crashing request to engines that run
+  int m_sound_quarantined = 0;
+  int m_sound_served = 0;
+};
+
+}  // namespace
+
+// Guards against counting a crash against another request than the one that caused it.
+BOOST_AUTO_TEST_CASE(CrashingRequestAmongOthersIsQuarantined) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      CrashSimulation simulation(seed);
+      simulation.Run();
+      BOOST_TEST_MESSAGE("crashes " << simulation.CrashCount() << ", late sends "
+                                    << simulation.LateSends() << ", sound requests served "
+                                    << simulation.SoundServed() << ", quarantined "
+                                    << simulation.SoundQuarantined());
+      BOOST_TEST(simulation.CrashCount() >= 1U);
+      BOOST_TEST(simulation.LateSends() <= kMaxLateSends);
+      BOOST_TEST(simulation.SoundServed() > 1'000);
+      BOOST_TEST(simulation.SoundQuarantined() == 0);
+    }
+  }
+}
+
+}  // namespace bluebellpass::gateway
