Count a crash against each run that had no event yet

Cause: a crash was counted against the run that had started last. Engines read prompts in order of arrival and crash when a response begins, so under load the cause is rather the first of the runs without an event. Class of fault: one culprit was picked by a guess where the evidence allows several.

Change: CrashRecords keeps each crash with all runs that lost their connections before their first event. A content counts as many crashes as it was a suspect of since a run of it last completed. A request completes sooner or later unless it is the cause, so the others are cleared. A lost run that was granted after a known crash belongs to another crash, so that a late report is not counted twice.

Remains: the record is still the coordinator's alone, and requests that wait are not looked at again.

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -11,9 +11,13 @@
 // all kinds of request: a delay that grew with the objective would give an organisation's quota to
 // its few large requests.
 constexpr Millis kMaxQuotaDelay{250};
-// A backend server that lost the connection of a run counts as dead if a new connection to it fails
-// within this time.
-constexpr Millis kDeathConfirmationTime{3'000};
+// A request that ran when this many backend servers crashed does not run again.
+constexpr std::uint32_t kCrashesToQuarantine = 2;
+
+/// @return what a request carries that may crash the backend server that runs it
+std::vector<Fingerprint> ContentsOf(const RequestInfo& request) {
+  return {Fingerprint(request.fingerprint)};
+}
 
 /// @return true when the request counts against a quota; a retry was counted before its first run
 bool IsCounted(const RequestInfo& request) { return request.quota_cost > 0 && !request.is_retry; }
@@ -25,6 +29,10 @@
   return m_table->FindOrganisationById(id);
 }
 
+bool Coordinator::IsQuarantined(const RequestInfo& request) const {
+  return m_crash_records.CrashCount(Fingerprint(request.fingerprint)) >= kCrashesToQuarantine;
+}
+
 void Coordinator::SetShare(std::size_t index, std::size_t count) {
   m_scheduler.SetShare(index, count);
   m_quota.SetShare(1.0 / static_cast<double>(std::max<std::size_t>(count, 1)));
@@ -40,7 +48,7 @@
 }
 
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
-  if (m_suspects.IsQuarantined(Fingerprint(request.fingerprint), now)) {
+  if (IsQuarantined(request)) {
     m_refusals.push_back({request.id, request.home, RefusalReason::kQuarantined, Millis{0}});
     return;
   }
@@ -109,32 +117,17 @@
 }
 
 void Coordinator::ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now) {
-  const BackendId* backend = m_scheduler.BackendOf(id);
-  if (report.outcome == RunOutcome::kLost && backend != nullptr &&
-      !m_possible_deaths.contains(*backend)) {
-    // Of all runs that a death interrupts, the one that started last is the likely cause.
-    if (const RequestInfo* newest = m_scheduler.NewestPrefilling(*backend))
-      m_possible_deaths[*backend] = {newest->fingerprint, now, newest->id,
-                                     m_scheduler.PrefillingOn(*backend)};
-  }
-  if (report.outcome == RunOutcome::kCompleted) {
-    if (const RequestInfo* request = m_scheduler.FindRunning(id))
-      m_suspects.OnRunCompleted(Fingerprint(request->fingerprint), now);
-  }
+  const RequestInfo* request = m_scheduler.FindRunning(id);
+  if (request != nullptr && report.outcome == RunOutcome::kLost)
+    m_crash_records.OnRunLost(m_scheduler.StartOf(*m_scheduler.BackendOf(id)), id,
+                              *m_scheduler.StartTimeOf(id), ContentsOf(*request), now);
+  if (request != nullptr && report.outcome == RunOutcome::kCompleted)
+    m_crash_records.OnRunCompleted(ContentsOf(*request), now);
   m_scheduler.ReleaseRun(id, report, now);
 }
 
 void Coordinator::OnBackendUnreachable(const BackendId& id, TimePoint now) {
-  const auto found = m_possible_deaths.find(id);
-  if (found == m_possible_deaths.end()) return;
-  const PossibleDeath death = found->second;
-  m_possible_deaths.erase(found);
-  if (now - death.at >= kDeathConfirmationTime) return;
-  m_crashes.push_back({id,
-                       {death.request},
-                       death.runs_without_event,
-                       std::chrono::duration_cast<Millis>(now - death.at)});
-  m_suspects.OnBackendDeath({Fingerprint(death.fingerprint)}, now);
+  m_crash_records.OnBackendUnreachable(m_scheduler.StartOf(id), now);
 }
 
 void Coordinator::SyncRequests(const InstanceId& home, std::vector<RequestInfo> waiting,
@@ -146,8 +139,7 @@
 }
 
 Decisions Coordinator::Decide(TimePoint now) {
-  std::erase_if(m_possible_deaths,
-                [&](const auto& entry) { return now - entry.second.at >= kDeathConfirmationTime; });
+  m_crash_records.RemoveExpired(now);
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   for (const Refusal& refusal : decisions.refusals)
@@ -155,7 +147,7 @@
       m_quota.ReleaseReservation(refusal.organisation, refusal.quota_cost);
   decisions.refusals.insert(decisions.refusals.end(), m_refusals.begin(), m_refusals.end());
   m_refusals.clear();
-  decisions.crashes = std::exchange(m_crashes, {});
+  decisions.crashes = m_crash_records.TakeChanges();
   return decisions;
 }
 
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "policy/suspects.h"
+#include "crash-records.h"
 #include "quota.h"
 #include "routing.h"
 #include "scheduler.h"
@@ -60,14 +60,8 @@
     TimePoint ready_at;
   };
 
-  /// A connection loss during a run that may be due to the death of the backend server.
-  struct PossibleDeath {
-    std::uint64_t fingerprint = 0;  ///< of the request that may have caused it
-    TimePoint at;
-    AttemptId request;
-    int runs_without_event = 0;
-  };
-
+  /// @return true when the request may have caused so many crashes that it must not run
+  bool IsQuarantined(const RequestInfo& request) const;
   const Organisation* FindOrganisation(const OrganisationId& id) const;
   /// Reserves the request's quota and adds it to the scheduler's queue.
   void Enqueue(RequestInfo request);
@@ -77,12 +71,9 @@
   std::shared_ptr<const RoutingTable> m_table;
   Scheduler m_scheduler;
   QuotaLimiter m_quota;
-  std::map<BackendId, PossibleDeath> m_possible_deaths;
-  std::uint64_t m_last_stamp = 0;
-  Suspects m_suspects{[this] { return ++m_last_stamp; }};
+  CrashRecords m_crash_records;
   std::vector<DelayedRequest> m_delayed;
   std::vector<Refusal> m_refusals;  ///< made on submission; returned by the next Decide
-  std::vector<BackendCrash> m_crashes;  ///< confirmed since the last Decide
 };
 
 }  // namespace bluebellpass::gateway
--- /dev/null
+++ b/src/gateway/crash-records.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "bluebellpass/types.h"
+#include "model.h"
+
+namespace bluebellpass::gateway {
+
+/// A backend server between two starts, as far as it states them.
+struct BackendStart {
+  BackendId id;
+  std::uint64_t started_at = 0;  ///< 0 if unknown
+
+  auto operator<=>(const BackendStart&) const = default;
+};
+
+/// Runs without an event whose connections were lost when a backend server crashed, or may have.
+struct CrashRecord {
+  BackendStart backend;
+  TimePoint at;  ///< of the first lost connection
+  bool is_confirmed = false;
+  TimePoint confirmed_at;
+  std::set<AttemptId> requests;    ///< of those runs
+  std::set<Fingerprint> suspects;  ///< their contents
+  bool is_reported = true;         ///< by TakeChanges, with all its suspects
+};
+
+/// Record of the contents that were about to run when backend servers crashed. An engine crashes
+/// when it begins a response, so each run without an event is a possible cause; contents of which a
+/// later run completes are not. Performs no I/O and reads no clock.
+class CrashRecords {
+ public:
+  /// Records that a run lost its connection before its first event.
+  /// @param started when the run was granted; a later start than an earlier crash is another one
+  void OnRunLost(const BackendStart& backend, const AttemptId& request, TimePoint started,
+                 const std::vector<Fingerprint>& contents, TimePoint now);
+  /// Records that a backend server accepts no connection. It has crashed if runs were lost shortly
+  /// before.
+  void OnBackendUnreachable(const BackendStart& backend, TimePoint now);
+  /// Clears contents of which a run completed.
+  void OnRunCompleted(const std::vector<Fingerprint>& contents, TimePoint now);
+
+  /// @return number of crashes of which a content may be the cause
+  std::uint32_t CrashCount(Fingerprint content) const;
+  /// Removes records that have expired or were not confirmed in time.
+  void RemoveExpired(TimePoint now);
+  /// @return the confirmed crashes that are new or have new suspects since the last call
+  std::vector<CrashRecord> TakeChanges();
+
+ private:
+  void CountCrash(const CrashRecord& record);
+  void Recount();
+
+  std::vector<CrashRecord> m_records;  ///< in order of their creation
+  std::map<Fingerprint, TimePoint> m_cleared_at;
+  /// Derived from the records: crashes since the content was last cleared.
+  std::unordered_map<Fingerprint, std::uint32_t> m_crash_counts;
+};
+
+}  // namespace bluebellpass::gateway
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -70,16 +70,18 @@
                                      {"raise_percent", as_int(refusal.inputs.boost * 100)},
                                      {"retry_after_ms", refusal.retry_after.count()}});
   }
-  for (const BackendCrash& crash : decisions.crashes) {
-    std::string suspects;
-    for (const AttemptId& id : crash.suspects) {
-      if (suspects.size() > kMaxSuspectsText) break;
-      suspects += (suspects.empty() ? "" : ",") + id.Text();
+  for (const CrashRecord& crash : decisions.crashes) {
+    std::string requests;
+    for (const AttemptId& id : crash.requests) {
+      if (requests.size() > kMaxSuspectsText) break;
+      requests += (requests.empty() ? "" : ",") + id.Text();
     }
-    LogEvent(EventId::kBackendCrashed, {{"backend", crash.backend.Text()},
-                                        {"suspects", suspects},
-                                        {"without_event", as_int(crash.runs_without_event)},
-                                        {"confirmed_after_ms", crash.confirmed_after.count()}});
+    LogEvent(EventId::kBackendCrashed,
+             {{"backend", crash.backend.id.Text()},
+              {"suspects", requests},
+              {"without_event", as_int(crash.requests.size())},
+              {"confirmed_after_ms",
+               std::chrono::duration_cast<Millis>(crash.confirmed_at - crash.at).count()}});
   }
   if (now < m_next_results_at) return;
   m_next_results_at = now + kResultsPeriod;
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -157,12 +157,9 @@
   m_prefill_ratio += kPrefillRatioSmoothing * (ratio - m_prefill_ratio);
 }
 
-const RequestInfo* Scheduler::NewestPrefilling(const BackendId& id) const {
-  const Run* newest = nullptr;
-  for (const auto& [attempt, run] : m_runs)
-    if (run.backend == id && run.is_prefilling && (!newest || run.started > newest->started))
-      newest = &run;
-  return newest == nullptr ? nullptr : &newest->request;
+BackendStart Scheduler::StartOf(const BackendId& id) const {
+  const auto found = m_backends.find(id);
+  return {id, found == m_backends.end() ? 0 : found->second.backend.started_at};
 }
 
 const RequestInfo* Scheduler::FindRunning(const AttemptId& id) const {
@@ -175,6 +172,11 @@
   return found == m_runs.end() ? nullptr : &found->second.backend;
 }
 
+const TimePoint* Scheduler::StartTimeOf(const AttemptId& id) const {
+  const auto found = m_runs.find(id);
+  return found == m_runs.end() ? nullptr : &found->second.started;
+}
+
 void Scheduler::UpdateFailureRate(const Run& run, const RunReport& report, TimePoint now) {
   const auto found = m_backends.find(run.backend);
   if (found == m_backends.end()) return;
@@ -275,11 +277,6 @@
   return found == m_backends.end() ? 0 : found->second.running;
 }
 
-int Scheduler::PrefillingOn(const BackendId& id) const {
-  const auto found = m_backends.find(id);
-  return found == m_backends.end() ? 0 : found->second.prefilling;
-}
-
 int Scheduler::GrantableSlots(const TrackedBackend& state) const {
   const auto slots = static_cast<std::size_t>(std::max(state.backend.slots, 1));
   if (m_share_count == 1) return static_cast<int>(slots);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bluebellpass/types.h"
+#include "crash-records.h"
 #include "failure-rate.h"
 #include "model.h"
 #include "size-balance.h"
@@ -108,19 +109,11 @@
   double mean_failure_rate = 0;  ///< over the backend servers of the service
 };
 
-/// A crash of a backend server, with the requests that may have caused it.
-struct BackendCrash {
-  BackendId backend;
-  std::vector<AttemptId> suspects;
-  int runs_without_event = 0;  ///< when the first connection was lost
-  Millis confirmed_after{0};   ///< time from the first lost connection to the confirmation
-};
-
 struct Decisions {
   std::vector<Grant> grants;
   std::vector<Refusal> refusals;
   std::vector<FailureLimitChange> limit_changes;
-  std::vector<BackendCrash> crashes;
+  std::vector<CrashRecord> crashes;  ///< confirmed, or with new suspects, since the last ones
 };
 
 /// Result counts of the requests of one kind and size group.
@@ -175,16 +168,16 @@
   void RemoveBackend(const BackendId& id);
   /// Grants no requests to a backend server until a time, after it failed.
   void AvoidBackend(const BackendId& id, TimePoint until);
-  /// @return the request granted last among those on a backend server that have had no event, or
-  /// null
-  const RequestInfo* NewestPrefilling(const BackendId& id) const;
-  /// @return number of runs on a backend server that have had no event
-  int PrefillingOn(const BackendId& id) const;
+  /// @return the current start of a backend server
+  BackendStart StartOf(const BackendId& id) const;
   /// @return the granted request, or null
   const RequestInfo* FindRunning(const AttemptId& id) const;
   /// @return the backend server of a granted request, or null
   const BackendId* BackendOf(const AttemptId& id) const;
 
+  /// @return when a request was granted, or null
+  const TimePoint* StartTimeOf(const AttemptId& id) const;
+
   void AddRequest(RequestInfo request);
   /// @return the waiting request, or null
   const RequestInfo* FindWaiting(const AttemptId& id) const;
