Refuse queued requests whose content has been quarantined since

Cause: quarantine was checked when a request was submitted and never again, though a request may wait for seconds. Class of fault: a precondition is checked once and relied on later.

Ruled out elsewhere: keys, routes and draining backend servers are checked again at the send (Call::OnGrant).

Change: when a crash is confirmed, queued and delayed requests that are quarantined by it are refused as not run, and their quota reservation is released.

Evidence: QueuedRequestIsRefusedOnQuarantine failed before (2 granted, 0 refused) and passes now; gateway-scheduler-test and gateway-quota-test pass.

Remains: the record is still the coordinator's alone.

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -33,6 +33,20 @@
   return m_crash_records.CrashCount(Fingerprint(request.fingerprint)) >= kCrashesToQuarantine;
 }
 
+void Coordinator::RefuseQuarantined() {
+  std::vector<RequestInfo> removed = m_scheduler.RemoveWaitingIf(
+      [this](const RequestInfo& request) { return IsQuarantined(request); });
+  std::erase_if(m_delayed, [&](DelayedRequest& delayed) {
+    if (!IsQuarantined(delayed.request)) return false;
+    removed.push_back(std::move(delayed.request));
+    return true;
+  });
+  for (const RequestInfo& request : removed) {
+    ReleaseReservation(request);
+    m_refusals.push_back({request.id, request.home, RefusalReason::kQuarantined, Millis{0}});
+  }
+}
+
 void Coordinator::SetShare(std::size_t index, std::size_t count) {
   m_scheduler.SetShare(index, count);
   m_quota.SetShare(1.0 / static_cast<double>(std::max<std::size_t>(count, 1)));
@@ -140,14 +154,16 @@
 
 Decisions Coordinator::Decide(TimePoint now) {
   m_crash_records.RemoveExpired(now);
+  std::vector<CrashRecord> crashes = m_crash_records.TakeChanges();
+  if (!crashes.empty()) RefuseQuarantined();
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
+  decisions.crashes = std::move(crashes);
   for (const Refusal& refusal : decisions.refusals)
     if (refusal.quota_cost > 0)
       m_quota.ReleaseReservation(refusal.organisation, refusal.quota_cost);
   decisions.refusals.insert(decisions.refusals.end(), m_refusals.begin(), m_refusals.end());
   m_refusals.clear();
-  decisions.crashes = m_crash_records.TakeChanges();
   return decisions;
 }
 
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -62,6 +62,8 @@
 
   /// @return true when the request may have caused so many crashes that it must not run
   bool IsQuarantined(const RequestInfo& request) const;
+  /// Refuses the queued requests that must not run any more.
+  void RefuseQuarantined();
   const Organisation* FindOrganisation(const OrganisationId& id) const;
   /// Reserves the request's quota and adds it to the scheduler's queue.
   void Enqueue(RequestInfo request);
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -250,11 +250,20 @@
   if (!is_prefilling) EndPrefill(m_runs.at(request.id));
 }
 
+std::vector<RequestInfo> Scheduler::RemoveWaitingIf(
+    const std::function<bool(const RequestInfo& request)>& matches) {
+  std::vector<RequestInfo> removed;
+  std::erase_if(m_waiting, [&](auto& entry) {
+    if (!matches(entry.second.request)) return false;
+    removed.push_back(std::move(entry.second.request));
+    return true;
+  });
+  return removed;
+}
+
 std::vector<RequestInfo> Scheduler::RemoveHome(const InstanceId& home) {
-  std::vector<RequestInfo> waiting;
-  for (const auto& [id, entry] : m_waiting)
-    if (entry.request.home == home) waiting.push_back(entry.request);
-  for (const RequestInfo& request : waiting) Withdraw(request.id);
+  std::vector<RequestInfo> waiting =
+      RemoveWaitingIf([&](const RequestInfo& request) { return request.home == home; });
   std::vector<AttemptId> runs;
   for (const auto& [id, run] : m_runs)
     if (run.request.home == home) runs.push_back(id);
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -184,6 +185,10 @@
   /// Removes a waiting request.
   /// @return false when it was not waiting
   bool Withdraw(const AttemptId& id);
+  /// Removes the waiting requests that match.
+  /// @return the removed requests
+  std::vector<RequestInfo> RemoveWaitingIf(
+      const std::function<bool(const RequestInfo& request)>& matches);
   /// Ends a run and frees its slot.
   void ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now);
   /// Records the first event of a run, which ends its prefill.
--- a/test/gateway-crash-test.cc
+++ b/test/gateway-crash-test.cc
@@ -26,6 +26,21 @@
 constexpr double kSoundPerSecond = 240;
 constexpr std::uint64_t kCrasher = 99;
 
+RequestInfo RequestOf(const std::string& id, std::uint64_t fingerprint, TimePoint now = kStart) {
+  RequestInfo request;
+  request.id = AttemptId(id);
+  request.home = InstanceId("home");
+  request.service = ServiceName("chat");
+  request.arrived = now;
+  request.latency_objective = Millis{1'000};
+  request.patience = Millis{4'000};
+  request.deadline = now + Millis{15'000};
+  request.prompt_tokens = 2'000;
+  request.output_tokens = 100;
+  request.fingerprint = fingerprint;
+  return request;
+}
+
 /// Simulates engines that read prompts one at a time in order of arrival. An engine that begins the
 /// response to the crashing request crashes and comes back some seconds later under a new id.
 class CrashSimulation {
@@ -81,18 +96,7 @@
   }
 
   void Submit(const std::string& id, std::uint64_t fingerprint) {
-    RequestInfo request;
-    request.id = AttemptId(id);
-    request.home = InstanceId("home");
-    request.service = m_service.name;
-    request.arrived = m_now;
-    request.latency_objective = Millis{1'000};
-    request.patience = Millis{4'000};
-    request.deadline = m_now + Millis{15'000};
-    request.prompt_tokens = 2'000;
-    request.output_tokens = 100;
-    request.fingerprint = fingerprint;
-    m_coordinator.Submit(std::move(request), m_now);
+    m_coordinator.Submit(RequestOf(id, fingerprint, m_now), m_now);
   }
 
   void AddArrivals() {
@@ -192,4 +196,35 @@
   }
 }
 
+// Guards against granting a request that was queued before its content was quarantined.
+BOOST_AUTO_TEST_CASE(QueuedRequestIsRefusedOnQuarantine) {
+  Coordinator coordinator;
+  Service service;
+  service.name = ServiceName("chat");
+  service.engine = EngineProperties{1, 0, 5};
+  for (const char* id : {"a", "b"}) {
+    Backend backend;
+    backend.id = BackendId(id);
+    backend.service = service.name;
+    backend.slots = 1;
+    coordinator.RequestScheduler().SetBackend(backend, &service);
+  }
+  // Two run, the others wait.
+  for (int i = 0; i < 4; ++i) coordinator.Submit(RequestOf("w" + std::to_string(i), 7), kStart);
+  const std::vector<Grant> grants = coordinator.Decide(kStart).grants;
+  BOOST_REQUIRE(grants.size() == 2U);
+  const TimePoint now = kStart + Millis{100};
+  for (const Grant& grant : grants) {
+    RunReport report;
+    report.outcome = RunOutcome::kLost;
+    coordinator.ReleaseRun(grant.id, report, now);
+    coordinator.OnBackendUnreachable(grant.backend, now);
+  }
+  const Decisions decisions = coordinator.Decide(now);
+  BOOST_TEST(decisions.grants.size() == 0U);
+  BOOST_REQUIRE(decisions.refusals.size() == 2U);
+  for (const Refusal& refusal : decisions.refusals)
+    BOOST_TEST((refusal.reason == RefusalReason::kQuarantined));
+}
+
 }  // namespace bluebellpass::gateway
