Share crash records among instances, so that they outlive the coordinator

Cause: only the coordinator kept the record of crashes, and a new one began with none; a loss that was reported while there was no coordinator was dropped. Class of fault: state that must outlive its owner was kept like the rest of the soft state, which can be rebuilt.

Ruled out: copying counts. Two coordinators that each count the same crash, or one crash each, cannot be merged from numbers. Records name the crash, so merging them in any order and any number of times gives the same count.

Change: the coordinator sends each confirmed crash and each clearance to its followers; each instance keeps what its own runs and connects show; both sides exchange all records over a new link. Crashes of one start of a backend server are one.

Remains: a crash counts only once somebody else's connect fails; the loss of all instances loses the record.

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -130,13 +130,18 @@
   m_scheduler.Withdraw(id);
 }
 
+void Coordinator::RecordRunEnd(const RequestInfo& request, const BackendId& backend,
+                               TimePoint started, RunOutcome outcome, TimePoint now) {
+  if (outcome == RunOutcome::kLost)
+    m_crash_records.OnRunLost(m_scheduler.StartOf(backend), request.id, started,
+                              ContentsOf(request), now);
+  if (outcome == RunOutcome::kCompleted) m_crash_records.OnRunCompleted(ContentsOf(request), now);
+}
+
 void Coordinator::ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now) {
-  const RequestInfo* request = m_scheduler.FindRunning(id);
-  if (request != nullptr && report.outcome == RunOutcome::kLost)
-    m_crash_records.OnRunLost(m_scheduler.StartOf(*m_scheduler.BackendOf(id)), id,
-                              *m_scheduler.StartTimeOf(id), ContentsOf(*request), now);
-  if (request != nullptr && report.outcome == RunOutcome::kCompleted)
-    m_crash_records.OnRunCompleted(ContentsOf(*request), now);
+  if (const RequestInfo* request = m_scheduler.FindRunning(id))
+    RecordRunEnd(*request, *m_scheduler.BackendOf(id), *m_scheduler.StartTimeOf(id), report.outcome,
+                 now);
   m_scheduler.ReleaseRun(id, report, now);
 }
 
@@ -154,8 +159,8 @@
 
 Decisions Coordinator::Decide(TimePoint now) {
   m_crash_records.RemoveExpired(now);
-  std::vector<CrashRecord> crashes = m_crash_records.TakeChanges();
-  if (!crashes.empty()) RefuseQuarantined();
+  CrashUpdate crashes = m_crash_records.TakeChanges();
+  if (!crashes.records.empty()) RefuseQuarantined();
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   decisions.crashes = std::move(crashes);
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -41,6 +41,16 @@
   void Submit(RequestInfo request, TimePoint now);
   void Withdraw(const AttemptId& id);
   void ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now);
+  /// Records how a run ended, as far as it tells which requests crash backend servers. ReleaseRun
+  /// includes it; instances that do not coordinate call it for their own runs.
+  /// @param started when the run was granted
+  void RecordRunEnd(const RequestInfo& request, const BackendId& backend, TimePoint started,
+                    RunOutcome outcome, TimePoint now);
+  /// @return what is known about crashes, for another instance
+  CrashUpdate CrashSnapshot() const { return m_crash_records.Snapshot(); }
+  void MergeCrashes(const CrashUpdate& update, TimePoint now) {
+    m_crash_records.Merge(update, now);
+  }
   /// Records that a connection to a backend server could not be established.
   void OnBackendUnreachable(const BackendId& id, TimePoint now);
   /// Replaces all waiting and running requests of an instance.
--- a/src/gateway/crash-records.cc
+++ b/src/gateway/crash-records.cc
@@ -10,6 +10,8 @@
 // time.
 constexpr Millis kConfirmationTime{3'000};
 constexpr Millis kRecordLifetime{3'600'000};
+// Instances notice a crash at slightly different times. A server takes longer to start again.
+constexpr Millis kMaxNoticeDelay{1'000};
 // Bounds the memory and the size of the messages that hold all records.
 constexpr std::size_t kMaxRecords = 1'024;
 
@@ -22,17 +24,18 @@
   auto record = std::find_if(m_records.begin(), m_records.end(), [&](const CrashRecord& known) {
     return known.backend == backend && started <= known.at;
   });
-  if (record == m_records.end()) {
-    if (m_records.size() >= kMaxRecords) m_records.erase(m_records.begin());
-    record = m_records.insert(m_records.end(), CrashRecord{backend, now});
-  }
-  record->requests.insert(request);
-  record->suspects.insert(contents.begin(), contents.end());
-  if (!record->is_confirmed) return;
-  record->is_reported = false;
+  CrashRecord& crash = record == m_records.end() ? Add(backend, now) : *record;
+  crash.requests.insert(request);
+  crash.suspects.insert(contents.begin(), contents.end());
+  if (crash.is_confirmed) crash.is_reported = false;
   Recount();
 }
 
+CrashRecord& CrashRecords::Add(const BackendStart& backend, TimePoint at) {
+  if (m_records.size() >= kMaxRecords) m_records.erase(m_records.begin());
+  return m_records.emplace_back(CrashRecord{backend, at});
+}
+
 void CrashRecords::OnBackendUnreachable(const BackendStart& backend, TimePoint now) {
   RemoveExpired(now);
   bool is_changed = false;
@@ -49,13 +52,18 @@
 void CrashRecords::OnRunCompleted(const std::vector<Fingerprint>& contents, TimePoint now) {
   bool is_changed = false;
   for (const Fingerprint content : contents) {
-    if (CrashCount(content) == 0) continue;
-    m_cleared_at[content] = now;
+    if (!m_crash_counts.contains(content)) continue;
+    Clear(content, now);
     is_changed = true;
   }
   if (is_changed) Recount();
 }
 
+void CrashRecords::Clear(Fingerprint content, TimePoint at) {
+  const auto [found, is_new] = m_cleared.try_emplace(content, Cleared{at, false});
+  if (!is_new && found->second.at < at) found->second = {at, false};
+}
+
 std::uint32_t CrashRecords::CrashCount(Fingerprint content) const {
   const auto found = m_crash_counts.find(content);
   return found == m_crash_counts.end() ? 0 : found->second;
@@ -63,14 +71,13 @@
 
 void CrashRecords::Recount() {
   m_crash_counts.clear();
-  for (const CrashRecord& record : m_records)
-    if (record.is_confirmed) CountCrash(record);
-}
-
-void CrashRecords::CountCrash(const CrashRecord& record) {
-  for (const Fingerprint content : record.suspects) {
-    const auto cleared = m_cleared_at.find(content);
-    if (cleared == m_cleared_at.end() || record.at > cleared->second) ++m_crash_counts[content];
+  for (CrashRecord& record : m_records) {
+    std::erase_if(record.suspects, [&](Fingerprint content) {
+      const auto cleared = m_cleared.find(content);
+      return cleared != m_cleared.end() && record.at <= cleared->second.at;
+    });
+    for (const Fingerprint content : record.suspects)
+      m_crash_counts[content] += record.is_confirmed ? 1 : 0;
   }
 }
 
@@ -78,16 +85,52 @@
   const std::size_t removed = std::erase_if(m_records, [&](const CrashRecord& record) {
     return now - record.at >= (record.is_confirmed ? kRecordLifetime : kConfirmationTime);
   });
-  std::erase_if(m_cleared_at,
-                [&](const auto& entry) { return now - entry.second >= kRecordLifetime; });
+  std::erase_if(m_cleared,
+                [&](const auto& entry) { return now - entry.second.at >= kRecordLifetime; });
   if (removed > 0) Recount();
 }
 
-std::vector<CrashRecord> CrashRecords::TakeChanges() {
-  std::vector<CrashRecord> changes;
+CrashUpdate CrashRecords::TakeChanges() {
+  CrashUpdate update;
   for (CrashRecord& record : m_records)
-    if (!std::exchange(record.is_reported, true)) changes.push_back(record);
-  return changes;
+    if (!std::exchange(record.is_reported, true)) update.records.push_back(record);
+  for (auto& [content, cleared] : m_cleared)
+    if (!std::exchange(cleared.is_reported, true)) update.cleared.push_back({content, cleared.at});
+  return update;
+}
+
+CrashUpdate CrashRecords::Snapshot() const {
+  CrashUpdate update{m_records, {}};
+  for (const auto& [content, cleared] : m_cleared) update.cleared.push_back({content, cleared.at});
+  return update;
+}
+
+CrashRecord& CrashRecords::FindOrAdd(const CrashRecord& other) {
+  for (CrashRecord& known : m_records) {
+    if (known.backend != other.backend) continue;
+    const auto difference = std::max(known.at, other.at) - std::min(known.at, other.at);
+    // A stated start crashes only once, though a suspended instance may have noticed it late.
+    if (known.backend.started_at != 0 || difference < kMaxNoticeDelay) return known;
+  }
+  return Add(other.backend, other.at);
+}
+
+void CrashRecords::Merge(const CrashUpdate& update, TimePoint now) {
+  RemoveExpired(now);
+  for (const ClearedContent& cleared : update.cleared) Clear(cleared.content, cleared.at);
+  for (const CrashRecord& other : update.records) {
+    CrashRecord& record = FindOrAdd(other);
+    const std::size_t suspects = record.suspects.size();
+    record.suspects.insert(other.suspects.begin(), other.suspects.end());
+    const bool is_confirmed_now = other.is_confirmed && !record.is_confirmed;
+    if (is_confirmed_now) {
+      record.is_confirmed = true;
+      record.confirmed_at = now;
+    }
+    if (record.is_confirmed && (is_confirmed_now || record.suspects.size() != suspects))
+      record.is_reported = false;
+  }
+  Recount();
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/crash-records.h
+++ b/src/gateway/crash-records.h
@@ -32,9 +32,24 @@
   bool is_reported = true;         ///< by TakeChanges, with all its suspects
 };
 
+/// A content of which a run completed. It did not cause the crashes before that.
+struct ClearedContent {
+  Fingerprint content;
+  TimePoint at;
+};
+
+/// Crash records, or changes to them, for other instances.
+struct CrashUpdate {
+  std::vector<CrashRecord> records;
+  std::vector<ClearedContent> cleared;
+
+  bool IsEmpty() const { return records.empty() && cleared.empty(); }
+};
+
 /// Record of the contents that were about to run when backend servers crashed. An engine crashes
 /// when it begins a response, so each run without an event is a possible cause; contents of which a
-/// later run completes are not. Performs no I/O and reads no clock.
+/// later run completes are not. Instances merge their records, in any order and any number of
+/// times. Performs no I/O and reads no clock.
 class CrashRecords {
  public:
   /// Records that a run lost its connection before its first event.
@@ -51,16 +66,30 @@
   std::uint32_t CrashCount(Fingerprint content) const;
   /// Removes records that have expired or were not confirmed in time.
   void RemoveExpired(TimePoint now);
-  /// @return the confirmed crashes that are new or have new suspects since the last call
-  std::vector<CrashRecord> TakeChanges();
+  /// @return confirmed crashes that are new or have new suspects, and contents that were cleared,
+  /// since the last call
+  CrashUpdate TakeChanges();
+  /// @return all records, including unconfirmed ones
+  CrashUpdate Snapshot() const;
+  /// Adds the records of another instance.
+  void Merge(const CrashUpdate& update, TimePoint now);
 
  private:
-  void CountCrash(const CrashRecord& record);
+  struct Cleared {
+    TimePoint at;
+    bool is_reported = false;
+  };
+
+  /// @return the record of the crash that another instance has recorded, or a new one
+  CrashRecord& FindOrAdd(const CrashRecord& other);
+  CrashRecord& Add(const BackendStart& backend, TimePoint at);
+  void Clear(Fingerprint content, TimePoint at);
+  /// Removes cleared suspects and counts the crashes of the others.
   void Recount();
 
   std::vector<CrashRecord> m_records;  ///< in order of their creation
-  std::map<Fingerprint, TimePoint> m_cleared_at;
-  /// Derived from the records: crashes since the content was last cleared.
+  std::map<Fingerprint, Cleared> m_cleared;
+  /// Derived from the records: confirmed crashes of each suspect, 0 if there are none.
   std::unordered_map<Fingerprint, std::uint32_t> m_crash_counts;
 };
 
--- a/src/gateway/decision-log.cc
+++ b/src/gateway/decision-log.cc
@@ -70,7 +70,7 @@
                                      {"raise_percent", as_int(refusal.inputs.boost * 100)},
                                      {"retry_after_ms", refusal.retry_after.count()}});
   }
-  for (const CrashRecord& crash : decisions.crashes) {
+  for (const CrashRecord& crash : decisions.crashes.records) {
     std::string requests;
     for (const AttemptId& id : crash.requests) {
       if (requests.size() > kMaxSuspectsText) break;
--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -96,6 +96,23 @@
                                Encode(message.spec), Encode(message.patch), message.base_revision)
                 .Union()};
   }
+  Item operator()(const CrashesMessage& message) {
+    std::vector<Offset<wire::CrashT>> records;
+    for (const CrashRecord& record : message.update.records) {
+      std::vector<std::uint64_t> suspects;
+      for (const Fingerprint content : record.suspects) suspects.push_back(content.Value());
+      records.push_back(wire::CreateCrashT(m_builder, Encode(record.backend.id),
+                                           record.backend.started_at, ToMillis(m_now - record.at),
+                                           record.is_confirmed, m_builder.CreateVector(suspects)));
+    }
+    std::vector<Offset<wire::ClearedT>> cleared;
+    for (const ClearedContent& content : message.update.cleared)
+      cleared.push_back(
+          wire::CreateClearedT(m_builder, content.content.Value(), ToMillis(m_now - content.at)));
+    return {wire::Item_Crashes, wire::CreateCrashes(m_builder, m_builder.CreateVector(records),
+                                                    m_builder.CreateVector(cleared))
+                                    .Union()};
+  }
 
  private:
   Offset<flatbuffers::String> Encode(const std::string& text) {
@@ -157,6 +174,8 @@
         return Decode(*message.item_as_Confirm());
       case wire::Item_Object:
         return Decode(*message.item_as_Object());
+      case wire::Item_Crashes:
+        return Decode(*message.item_as_Crashes());
       default:
         m_is_valid = false;
         return WithdrawMessage{};
@@ -230,6 +249,26 @@
     message.base_revision = table.base_revision();
     return message;
   }
+  CrashesMessage Decode(const wire::Crashes& table) {
+    CrashesMessage message;
+    if (table.records() != nullptr) {
+      for (const wire::CrashT* record : *table.records()) {
+        CrashRecord decoded;
+        decoded.backend = {DecodeId<BackendId>(record->backend()), record->started_at()};
+        decoded.at = m_now - DecodeMillis(record->age_ms());
+        decoded.is_confirmed = record->is_confirmed();
+        if (record->suspects() != nullptr)
+          for (const std::uint64_t content : *record->suspects())
+            decoded.suspects.insert(Fingerprint(content));
+        message.update.records.push_back(std::move(decoded));
+      }
+    }
+    if (table.cleared() != nullptr)
+      for (const wire::ClearedT* cleared : *table.cleared())
+        message.update.cleared.push_back(
+            {Fingerprint(cleared->content()), m_now - DecodeMillis(cleared->age_ms())});
+    return message;
+  }
   RequestInfo Decode(const wire::WorkT* table) {
     if (table == nullptr) {
       m_is_valid = false;
--- a/src/gateway/fleet-codec.h
+++ b/src/gateway/fleet-codec.h
@@ -68,6 +68,10 @@
   RefusalReason reason = RefusalReason::kOverloaded;
   Millis retry_after{0};
 };
+// Either direction: all crash records over a new link, then changes from the coordinator.
+struct CrashesMessage {
+  CrashUpdate update;
+};
 // Either direction: members as known to the sender; newer registrations replace older ones.
 struct MembersMessage {
   std::vector<FleetMember> members;
@@ -101,7 +105,7 @@
 using FleetMessage =
     std::variant<SubmitMessage, WithdrawMessage, FirstEventMessage, ReleaseRunMessage,
                  AvoidBackendMessage, SyncRequestsMessage, GrantedMessage, RefusedMessage,
-                 MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage>;
+                 MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage, CrashesMessage>;
 
 /// Encodes the payload of a Fleet frame.
 /// @param now time points are encoded relative to it
--- /dev/null
+++ b/src/gateway/fleet-members.cc
@@ -0,0 +1,125 @@
+#include <algorithm>
+
+#include "bluebellpass/event.h"
+#include "fleet.h"
+#include "kernel/loop.h"
+
+namespace bluebellpass::gateway {
+namespace {
+
+// A member absent for this long is removed; it is not expected back under its registration.
+constexpr Millis kRemoveAbsentAfter{20'000};
+
+}  // namespace
+
+FleetMember Fleet::OwnMember() const {
+  FleetMember member;
+  member.id = m_options.id;
+  member.data_centre = m_options.data_centre;
+  member.caller_address = m_options.caller_address;
+  member.peer_address = m_options.peer_address;
+  member.registration_revision = m_registration_revision;
+  member.is_alive = true;
+  member.is_leaving = m_is_leaving;
+  member.has_lost_store = m_has_lost_store;
+  return member;
+}
+
+void Fleet::SetRegistration(std::uint64_t revision) {
+  m_registration_revision = revision;
+  if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
+  BroadcastMember(OwnMember());
+  ElectCoordinator();
+}
+
+void Fleet::AddMember(FleetMember member) {
+  MergeMembers(MembersMessage{{std::move(member)}}, false);
+  if (m_is_started) ElectCoordinator();
+}
+
+std::vector<Address> Fleet::CallerAddresses() const {
+  std::vector<Address> addresses;
+  if (!m_is_leaving) addresses.push_back(m_options.caller_address);
+  // The coordinator reports which instances are alive. Without one, all count as alive.
+  const bool knows_liveness = m_coordinator_id.has_value();
+  for (const auto& [id, member] : m_members)
+    if (!member.is_leaving && (member.is_alive || !knows_liveness))
+      addresses.push_back(member.caller_address);
+  return addresses;
+}
+
+std::vector<const FleetMember*> Fleet::Candidates() const {
+  std::vector<const FleetMember*> candidates;
+  for (const auto& [id, member] : m_members)
+    if (!member.is_leaving && member.registration_revision != 0) candidates.push_back(&member);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto* a, const auto* b) { return ElectionKey(*a) < ElectionKey(*b); });
+  return candidates;
+}
+
+void Fleet::RemoveAbsentMembers(TimePoint now) {
+  if (!IsCoordinator()) return m_absent_since.clear();
+  std::vector<FleetMember> removed;
+  for (auto& [id, member] : m_members) {
+    if (member.is_alive) {
+      m_absent_since.erase(id);
+    } else if (now - m_absent_since.try_emplace(id, now).first->second > kRemoveAbsentAfter) {
+      removed.push_back(member);
+    }
+  }
+  for (FleetMember& member : removed) {
+    m_members.erase(member.id);
+    m_absent_since.erase(member.id);
+    m_dials.erase(member.id);
+    member.is_removed = true;
+    BroadcastMember(member);
+    if (m_events.on_member_removed)
+      m_events.on_member_removed(member.id, member.registration_revision);
+  }
+  if (!removed.empty()) UpdateShare();
+}
+
+void Fleet::MergeMembers(const MembersMessage& message, bool is_from_coordinator) {
+  for (const FleetMember& member : message.members) {
+    if (member.id == m_options.id) continue;
+    const auto old = m_members.find(member.id);
+    const bool is_new = old == m_members.end();
+    if (!is_new && member.registration_revision < old->second.registration_revision) continue;
+    if (member.is_removed) {
+      if (is_from_coordinator) m_members.erase(member.id);
+      continue;
+    }
+    const bool is_newer =
+        is_new || member.registration_revision > old->second.registration_revision;
+    FleetMember merged = member;
+    if (!is_from_coordinator) merged.is_alive = m_followers.contains(member.id);
+    if (!is_from_coordinator && !is_new && !IsCoordinator()) merged.is_alive = old->second.is_alive;
+    const bool is_changed = is_new || is_newer || old->second.is_leaving != member.is_leaving ||
+                            old->second.has_lost_store != member.has_lost_store;
+    m_members[member.id] = merged;
+    // A restarted instance may be reachable at once.
+    if (is_newer) m_dials[member.id].retry_at = {};
+    if (is_changed && IsCoordinator()) BroadcastMember(merged);
+  }
+  UpdateShare();
+}
+
+void Fleet::SetAlive(const InstanceId& id, bool is_alive) {
+  const auto found = m_members.find(id);
+  if (found == m_members.end()) return;
+  const bool is_changed = found->second.is_alive != is_alive;
+  found->second.is_alive = is_alive;
+  if (is_changed && IsCoordinator()) {
+    LogEvent(EventId::kFleetChanged,
+             {{"member", id.Text()},
+              {"state", is_alive ? "alive" : "away"},
+              {"present", static_cast<std::int64_t>(m_followers.size() + 1)}});
+    BroadcastMember(found->second);
+  }
+}
+
+void Fleet::BroadcastMember(const FleetMember& member) {
+  for (auto& [id, peer] : m_followers) Enqueue(peer, MembersMessage{{member}});
+}
+
+}  // namespace bluebellpass::gateway
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -22,8 +22,6 @@
 // The next candidate is dialled as well if the previous one has not answered within this time.
 constexpr Millis kNextCandidateDelay{150};
 constexpr Millis kDialBackoff{1'500};
-// A member absent for this long is removed; it is not expected back under its registration.
-constexpr Millis kRemoveAbsentAfter{20'000};
 
 }  // namespace
 
@@ -75,31 +73,6 @@
   link->Accept(accepted);
 }
 
-FleetMember Fleet::OwnMember() const {
-  FleetMember member;
-  member.id = m_options.id;
-  member.data_centre = m_options.data_centre;
-  member.caller_address = m_options.caller_address;
-  member.peer_address = m_options.peer_address;
-  member.registration_revision = m_registration_revision;
-  member.is_alive = true;
-  member.is_leaving = m_is_leaving;
-  member.has_lost_store = m_has_lost_store;
-  return member;
-}
-
-void Fleet::SetRegistration(std::uint64_t revision) {
-  m_registration_revision = revision;
-  if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
-  BroadcastMember(OwnMember());
-  ElectCoordinator();
-}
-
-void Fleet::AddMember(FleetMember member) {
-  MergeMembers(MembersMessage{{std::move(member)}}, false);
-  if (m_is_started) ElectCoordinator();
-}
-
 void Fleet::Leave() {
   m_is_leaving = true;
   if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
@@ -108,26 +81,6 @@
   ElectCoordinator();
 }
 
-std::vector<Address> Fleet::CallerAddresses() const {
-  std::vector<Address> addresses;
-  if (!m_is_leaving) addresses.push_back(m_options.caller_address);
-  // The coordinator reports which instances are alive. Without one, all count as alive.
-  const bool knows_liveness = m_coordinator_id.has_value();
-  for (const auto& [id, member] : m_members)
-    if (!member.is_leaving && (member.is_alive || !knows_liveness))
-      addresses.push_back(member.caller_address);
-  return addresses;
-}
-
-std::vector<const FleetMember*> Fleet::Candidates() const {
-  std::vector<const FleetMember*> candidates;
-  for (const auto& [id, member] : m_members)
-    if (!member.is_leaving && member.registration_revision != 0) candidates.push_back(&member);
-  std::sort(candidates.begin(), candidates.end(),
-            [](const auto* a, const auto* b) { return ElectionKey(*a) < ElectionKey(*b); });
-  return candidates;
-}
-
 void Fleet::SetLostStore(bool has_lost_store) {
   if (m_has_lost_store == has_lost_store) return;
   m_has_lost_store = has_lost_store;
@@ -218,6 +171,8 @@
   }
   Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
   Enqueue(*m_coordinator_peer, m_relay->MakeProbe());
+  // Before the requests, some of which may be quarantined.
+  SendCrashes(*m_coordinator_peer, m_coordinator.CrashSnapshot());
   Enqueue(*m_coordinator_peer, std::move(sync));
 }
 
@@ -266,28 +221,6 @@
   for (const auto& link : silent) link->Close("silent");
 }
 
-void Fleet::RemoveAbsentMembers(TimePoint now) {
-  if (!IsCoordinator()) return m_absent_since.clear();
-  std::vector<FleetMember> removed;
-  for (auto& [id, member] : m_members) {
-    if (member.is_alive) {
-      m_absent_since.erase(id);
-    } else if (now - m_absent_since.try_emplace(id, now).first->second > kRemoveAbsentAfter) {
-      removed.push_back(member);
-    }
-  }
-  for (FleetMember& member : removed) {
-    m_members.erase(member.id);
-    m_absent_since.erase(member.id);
-    m_dials.erase(member.id);
-    member.is_removed = true;
-    BroadcastMember(member);
-    if (m_events.on_member_removed)
-      m_events.on_member_removed(member.id, member.registration_revision);
-  }
-  if (!removed.empty()) UpdateShare();
-}
-
 void Fleet::OnLinkReady(Link& link) {
   const InstanceId id = link.Peer().id;
   const TimePoint now = m_loop.Now();
@@ -313,6 +246,7 @@
   MembersMessage snapshot{{OwnMember()}};
   for (const auto& [other, known] : m_members) snapshot.members.push_back(known);
   Enqueue(peer, std::move(snapshot));
+  SendCrashes(peer, m_coordinator.CrashSnapshot());
   UpdateShare();
 }
 
@@ -387,6 +321,8 @@
     if (avoid->is_unreachable) m_coordinator.OnBackendUnreachable(avoid->backend, now);
   } else if (auto* sync = std::get_if<SyncRequestsMessage>(&message)) {
     m_coordinator.SyncRequests(follower, std::move(sync->waiting), sync->running, now);
+  } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
+    m_coordinator.MergeCrashes(crashes->update, now);
   } else if (const auto* members = std::get_if<MembersMessage>(&message)) {
     MergeMembers(*members, false);
   } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
@@ -413,6 +349,8 @@
     m_loop.Post([this, alive = m_alive] {
       if (*alive) ElectCoordinator();
     });
+  } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
+    m_coordinator.MergeCrashes(crashes->update, m_loop.Now());
   } else if (const auto* confirm = std::get_if<ConfirmMessage>(&message)) {
     m_relay->OnConfirm(*confirm);
   } else if (const auto* object = std::get_if<ObjectMessage>(&message)) {
@@ -420,49 +358,6 @@
   }
 }
 
-void Fleet::MergeMembers(const MembersMessage& message, bool is_from_coordinator) {
-  for (const FleetMember& member : message.members) {
-    if (member.id == m_options.id) continue;
-    const auto old = m_members.find(member.id);
-    const bool is_new = old == m_members.end();
-    if (!is_new && member.registration_revision < old->second.registration_revision) continue;
-    if (member.is_removed) {
-      if (is_from_coordinator) m_members.erase(member.id);
-      continue;
-    }
-    const bool is_newer =
-        is_new || member.registration_revision > old->second.registration_revision;
-    FleetMember merged = member;
-    if (!is_from_coordinator) merged.is_alive = m_followers.contains(member.id);
-    if (!is_from_coordinator && !is_new && !IsCoordinator()) merged.is_alive = old->second.is_alive;
-    const bool is_changed = is_new || is_newer || old->second.is_leaving != member.is_leaving ||
-                            old->second.has_lost_store != member.has_lost_store;
-    m_members[member.id] = merged;
-    // A restarted instance may be reachable at once.
-    if (is_newer) m_dials[member.id].retry_at = {};
-    if (is_changed && IsCoordinator()) BroadcastMember(merged);
-  }
-  UpdateShare();
-}
-
-void Fleet::SetAlive(const InstanceId& id, bool is_alive) {
-  const auto found = m_members.find(id);
-  if (found == m_members.end()) return;
-  const bool is_changed = found->second.is_alive != is_alive;
-  found->second.is_alive = is_alive;
-  if (is_changed && IsCoordinator()) {
-    LogEvent(EventId::kFleetChanged,
-             {{"member", id.Text()},
-              {"state", is_alive ? "alive" : "away"},
-              {"present", static_cast<std::int64_t>(m_followers.size() + 1)}});
-    BroadcastMember(found->second);
-  }
-}
-
-void Fleet::BroadcastMember(const FleetMember& member) {
-  for (auto& [id, peer] : m_followers) Enqueue(peer, MembersMessage{{member}});
-}
-
 void Fleet::Enqueue(Peer& peer, FleetMessage message) {
   peer.outbox.push_back(std::move(message));
   if (m_is_flush_posted) return;
@@ -472,6 +367,10 @@
   });
 }
 
+void Fleet::SendCrashes(Peer& peer, const CrashUpdate& update) {
+  if (!update.IsEmpty()) Enqueue(peer, CrashesMessage{update});
+}
+
 void Fleet::FlushOutboxes() {
   m_is_flush_posted = false;
   const TimePoint now = m_loop.Now();
@@ -496,7 +395,7 @@
 
 void Fleet::Submit(RequestInfo request, DispatchListener* listener) {
   request.home = m_options.id;
-  m_requests[request.id] = LocalRequest{request, listener, {}, true};
+  m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
     m_coordinator.Submit(std::move(request), m_loop.Now());
     return ScheduleDecision();
@@ -514,11 +413,17 @@
 }
 
 void Fleet::ReleaseRun(const AttemptId& id, const RunReport& report) {
-  m_requests.erase(id);
+  const TimePoint now = m_loop.Now();
+  const auto request = m_requests.extract(id);
   if (IsCoordinator()) {
-    m_coordinator.ReleaseRun(id, report, m_loop.Now());
+    m_coordinator.ReleaseRun(id, report, now);
     return ScheduleDecision();
   }
+  // Kept here as well, since the report may be lost with the coordinator.
+  if (!request.empty()) {
+    const LocalRequest& local = request.mapped();
+    m_coordinator.RecordRunEnd(local.info, local.backend, local.granted_at, report.outcome, now);
+  }
   SendToCoordinator(ReleaseRunMessage{id, report});
 }
 
@@ -533,9 +438,9 @@
 }
 
 void Fleet::AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) {
+  if (is_unreachable) m_coordinator.OnBackendUnreachable(id, m_loop.Now());
   if (!IsCoordinator()) return SendToCoordinator(AvoidBackendMessage{id, duration, is_unreachable});
   m_coordinator.RequestScheduler().AvoidBackend(id, m_loop.Now() + duration);
-  if (is_unreachable) m_coordinator.OnBackendUnreachable(id, m_loop.Now());
 }
 
 void Fleet::DeliverGrant(const AttemptId& id, const BackendId& backend) {
@@ -548,6 +453,7 @@
   }
   LocalRequest& request = found->second;
   request.backend = backend;
+  request.granted_at = m_loop.Now();
   request.is_prefilling = true;
   std::exchange(request.listener, nullptr)->OnGrant(backend);
 }
@@ -572,7 +478,10 @@
 
 void Fleet::Decide() {
   const TimePoint now = m_loop.Now();
-  const Decisions decisions = m_coordinator.Decide(now);
+  Decisions decisions = m_coordinator.Decide(now);
+  // The coordinator has reported what a follower learns of crashes.
+  if (!IsCoordinator()) decisions.crashes = {};
+  for (auto& [id, peer] : m_followers) SendCrashes(peer, decisions.crashes);
   m_decision_log.Write(decisions, m_coordinator.RequestScheduler(), now);
   for (const Grant& grant : decisions.grants) {
     if (grant.home == m_options.id) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -96,6 +96,7 @@
     RequestInfo info;
     DispatchListener* listener = nullptr;  ///< null after the grant
     BackendId backend;
+    TimePoint granted_at;
     bool is_prefilling = true;  ///< no event of the response has arrived yet
   };
   struct Peer {
@@ -136,6 +137,7 @@
   void SendToCoordinator(FleetMessage message);
   void SendToFollower(const InstanceId& follower, FleetMessage message);
   void Enqueue(Peer& peer, FleetMessage message);
+  void SendCrashes(Peer& peer, const CrashUpdate& update);
   void FlushOutboxes();
   void BroadcastMember(const FleetMember& member);
 
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -60,6 +60,15 @@
 struct Object;
 struct ObjectBuilder;
 
+struct CrashT;
+struct CrashTBuilder;
+
+struct ClearedT;
+struct ClearedTBuilder;
+
+struct Crashes;
+struct CrashesBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -80,27 +89,28 @@
   Item_Probe = 10,
   Item_Confirm = 11,
   Item_Object = 12,
+  Item_Crashes = 13,
   Item_MIN = Item_NONE,
-  Item_MAX = Item_Object
+  Item_MAX = Item_Crashes
 };
 
-inline const Item (&EnumValuesItem())[13] {
+inline const Item (&EnumValuesItem())[14] {
   static const Item values[] = {Item_NONE,   Item_Submit,     Item_Withdraw, Item_Grant,
                                 Item_Refuse, Item_FirstEvent, Item_Release,  Item_Avoid,
                                 Item_Sync,   Item_View,       Item_Probe,    Item_Confirm,
-                                Item_Object};
+                                Item_Object, Item_Crashes};
   return values;
 }
 
 inline const char *const *EnumNamesItem() {
-  static const char *const names[14] = {"NONE",       "Submit",  "Withdraw", "Grant", "Refuse",
-                                        "FirstEvent", "Release", "Avoid",    "Sync",  "View",
-                                        "Probe",      "Confirm", "Object",   nullptr};
+  static const char *const names[15] = {"NONE",       "Submit",  "Withdraw", "Grant",   "Refuse",
+                                        "FirstEvent", "Release", "Avoid",    "Sync",    "View",
+                                        "Probe",      "Confirm", "Object",   "Crashes", nullptr};
   return names;
 }
 
 inline const char *EnumNameItem(Item e) {
-  if (flatbuffers::IsOutRange(e, Item_NONE, Item_Object)) return "";
+  if (flatbuffers::IsOutRange(e, Item_NONE, Item_Crashes)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesItem()[index];
 }
@@ -170,6 +180,11 @@
   static const Item enum_value = Item_Object;
 };
 
+template <>
+struct ItemTraits<bluebellpass::gateway::wire::Crashes> {
+  static const Item enum_value = Item_Crashes;
+};
+
 bool VerifyItem(flatbuffers::Verifier &verifier, const void *obj, Item type);
 bool VerifyItemVector(flatbuffers::Verifier &verifier,
                       const flatbuffers::Vector<flatbuffers::Offset<void>> *values,
@@ -1232,6 +1247,201 @@
                                                    patch__, base_revision);
 }
 
+struct CrashT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BACKEND = 4,
+    VT_STARTED_AT = 6,
+    VT_AGE_MS = 8,
+    VT_IS_CONFIRMED = 10,
+    VT_SUSPECTS = 12
+  };
+  const flatbuffers::String *backend() const {
+    return GetPointer<const flatbuffers::String *>(VT_BACKEND);
+  }
+  uint64_t started_at() const { return GetField<uint64_t>(VT_STARTED_AT, 0); }
+  int64_t age_ms() const { return GetField<int64_t>(VT_AGE_MS, 0); }
+  bool is_confirmed() const { return GetField<uint8_t>(VT_IS_CONFIRMED, 0) != 0; }
+  const flatbuffers::Vector<uint64_t> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_BACKEND) &&
+           verifier.VerifyString(backend()) && VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_CONFIRMED, 1) &&
+           VerifyOffset(verifier, VT_SUSPECTS) && verifier.VerifyVector(suspects()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashTBuilder {
+  typedef CrashT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_backend(flatbuffers::Offset<flatbuffers::String> backend) {
+    fbb_.AddOffset(CrashT::VT_BACKEND, backend);
+  }
+  void add_started_at(uint64_t started_at) {
+    fbb_.AddElement<uint64_t>(CrashT::VT_STARTED_AT, started_at, 0);
+  }
+  void add_age_ms(int64_t age_ms) { fbb_.AddElement<int64_t>(CrashT::VT_AGE_MS, age_ms, 0); }
+  void add_is_confirmed(bool is_confirmed) {
+    fbb_.AddElement<uint8_t>(CrashT::VT_IS_CONFIRMED, static_cast<uint8_t>(is_confirmed), 0);
+  }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects) {
+    fbb_.AddOffset(CrashT::VT_SUSPECTS, suspects);
+  }
+  explicit CrashTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashT> CreateCrashT(
+    flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> backend = 0,
+    uint64_t started_at = 0, int64_t age_ms = 0, bool is_confirmed = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0) {
+  CrashTBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_started_at(started_at);
+  builder_.add_suspects(suspects);
+  builder_.add_backend(backend);
+  builder_.add_is_confirmed(is_confirmed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CrashT> CreateCrashTDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, const char *backend = nullptr, uint64_t started_at = 0,
+    int64_t age_ms = 0, bool is_confirmed = false,
+    const std::vector<uint64_t> *suspects = nullptr) {
+  auto backend__ = backend ? _fbb.CreateString(backend) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
+  return bluebellpass::gateway::wire::CreateCrashT(_fbb, backend__, started_at, age_ms,
+                                                   is_confirmed, suspects__);
+}
+
+struct ClearedT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClearedTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_CONTENT = 4, VT_AGE_MS = 6 };
+  uint64_t content() const { return GetField<uint64_t>(VT_CONTENT, 0); }
+  int64_t age_ms() const { return GetField<int64_t>(VT_AGE_MS, 0); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) && verifier.EndTable();
+  }
+};
+
+struct ClearedTBuilder {
+  typedef ClearedT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(ClearedT::VT_CONTENT, content, 0);
+  }
+  void add_age_ms(int64_t age_ms) { fbb_.AddElement<int64_t>(ClearedT::VT_AGE_MS, age_ms, 0); }
+  explicit ClearedTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClearedT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClearedT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClearedT> CreateClearedT(flatbuffers::FlatBufferBuilder &_fbb,
+                                                    uint64_t content = 0, int64_t age_ms = 0) {
+  ClearedTBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_content(content);
+  return builder_.Finish();
+}
+
+struct Crashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4,
+    VT_CLEARED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>> *records()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>> *>(
+        VT_RECORDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>> *cleared()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>> *>(
+        VT_CLEARED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) && verifier.VerifyVectorOfTables(records()) &&
+           VerifyOffset(verifier, VT_CLEARED) && verifier.VerifyVector(cleared()) &&
+           verifier.VerifyVectorOfTables(cleared()) && verifier.EndTable();
+  }
+};
+
+struct CrashesBuilder {
+  typedef Crashes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<
+                   flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>>>
+                       records) {
+    fbb_.AddOffset(Crashes::VT_RECORDS, records);
+  }
+  void add_cleared(flatbuffers::Offset<
+                   flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>>>
+                       cleared) {
+    fbb_.AddOffset(Crashes::VT_CLEARED, cleared);
+  }
+  explicit CrashesBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crashes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crashes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crashes> CreateCrashes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>>>
+        records = 0,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>>>
+        cleared = 0) {
+  CrashesBuilder builder_(_fbb);
+  builder_.add_cleared(cleared);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Crashes> CreateCrashesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>> *records = nullptr,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>> *cleared =
+        nullptr) {
+  auto records__ =
+      records
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::CrashT>>(*records)
+          : 0;
+  auto cleared__ =
+      cleared
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::ClearedT>>(*cleared)
+          : 0;
+  return bluebellpass::gateway::wire::CreateCrashes(_fbb, records__, cleared__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ITEM_TYPE = 4, VT_ITEM = 6 };
@@ -1301,6 +1511,11 @@
                ? static_cast<const bluebellpass::gateway::wire::Object *>(item())
                : nullptr;
   }
+  const bluebellpass::gateway::wire::Crashes *item_as_Crashes() const {
+    return item_type() == bluebellpass::gateway::wire::Item_Crashes
+               ? static_cast<const bluebellpass::gateway::wire::Crashes *>(item())
+               : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_ITEM_TYPE, 1) &&
            VerifyOffset(verifier, VT_ITEM) && VerifyItem(verifier, item(), item_type()) &&
@@ -1380,6 +1595,12 @@
   return item_as_Object();
 }
 
+template <>
+inline const bluebellpass::gateway::wire::Crashes *
+Message::item_as<bluebellpass::gateway::wire::Crashes>() const {
+  return item_as_Crashes();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1517,6 +1738,10 @@
       auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::Object *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Item_Crashes: {
+      auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::Crashes *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default:
       return true;
   }
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -114,7 +114,7 @@
   std::vector<Grant> grants;
   std::vector<Refusal> refusals;
   std::vector<FailureLimitChange> limit_changes;
-  std::vector<CrashRecord> crashes;  ///< confirmed, or with new suspects, since the last ones
+  CrashUpdate crashes;  ///< changes since the last decision
 };
 
 /// Result counts of the requests of one kind and size group.
--- a/test/gateway-crash-test.cc
+++ b/test/gateway-crash-test.cc
@@ -227,4 +227,33 @@
     BOOST_TEST((refusal.reason == RefusalReason::kQuarantined));
 }
 
+// Guards against merged records that count a crash twice, lose one, or undo a clearance.
+BOOST_AUTO_TEST_CASE(MergedRecordsCountEachCrashOnce) {
+  const Fingerprint crasher{1};
+  const Fingerprint sound{2};
+  const BackendStart first{BackendId("a"), 10};
+  const BackendStart second{BackendId("b"), 11};
+  CrashRecords left;
+  CrashRecords right;
+  // Each side sees the first crash by a run of its own, and only one sees the second.
+  left.OnRunLost(first, AttemptId("r1"), kStart, {crasher}, kStart + Millis{10});
+  right.OnRunLost(first, AttemptId("r2"), kStart, {sound}, kStart + Millis{14});
+  left.OnBackendUnreachable(first, kStart + Millis{20});
+  right.OnRunLost(second, AttemptId("r3"), kStart, {crasher, sound}, kStart + Millis{30});
+  right.OnBackendUnreachable(second, kStart + Millis{40});
+  const TimePoint now = kStart + Millis{50};
+  const CrashUpdate early = right.Snapshot();
+  right.OnRunCompleted({sound}, now);
+  left.Merge(right.Snapshot(), now);
+  right.Merge(left.Snapshot(), now);
+  right.Merge(early, now);
+  for (const CrashRecords* records : {&left, &right}) {
+    BOOST_TEST(records->CrashCount(crasher) == 2U);
+    BOOST_TEST(records->CrashCount(sound) == 0U);
+  }
+  BOOST_TEST(left.TakeChanges().records.size() == 2U);
+  left.Merge(right.Snapshot(), now);
+  BOOST_TEST(left.TakeChanges().IsEmpty());
+}
+
 }  // namespace bluebellpass::gateway
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -44,6 +44,11 @@
   member.registration_revision = 42;
   member.is_alive = true;
   member.has_lost_store = true;
+  CrashRecord crash;
+  crash.backend = {BackendId("b"), 17};
+  crash.at = kNow - Millis{250};
+  crash.is_confirmed = true;
+  crash.suspects = {Fingerprint(5), Fingerprint(6)};
   return {SubmitMessage{SampleRequest()},
           WithdrawMessage{AttemptId("a2")},
           FirstEventMessage{AttemptId("a3"), Millis{12}},
@@ -55,7 +60,8 @@
           MembersMessage{{member}},
           ProbeMessage{123'456, true},
           ConfirmMessage{123'456, 9, Millis{40}, 11, Millis{50}},
-          ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}", "[]", 11}};
+          ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}", "[]", 11},
+          CrashesMessage{{{crash}, {{Fingerprint(7), kNow - Millis{70}}}}}};
 }
 
 }  // namespace
@@ -102,6 +108,14 @@
   BOOST_TEST(std::get<ObjectMessage>(messages[11]).spec == "{}");
   BOOST_TEST(std::get<ObjectMessage>(messages[11]).patch == "[]");
   BOOST_TEST(std::get<ObjectMessage>(messages[11]).base_revision == 11U);
+  const CrashUpdate& crashes = std::get<CrashesMessage>(messages[12]).update;
+  const CrashRecord& crash = crashes.records.at(0);
+  BOOST_TEST((crash.backend == BackendStart{BackendId("b"), 17}));
+  BOOST_TEST((crash.at == kNow - Millis{250}));
+  BOOST_TEST(crash.is_confirmed);
+  BOOST_TEST((crash.suspects == std::set{Fingerprint(5), Fingerprint(6)}));
+  BOOST_TEST((crashes.cleared.at(0).content == Fingerprint(7)));
+  BOOST_TEST((crashes.cleared.at(0).at == kNow - Millis{70}));
 }
 
 // Guards against crashes and out-of-bounds reads on payloads of a faulty sender.
