Connect to a backend server that lost a run, to find out whether it crashed

Cause: a lost connection counts as a crash only when a new connection fails within 3 s, and that was left to chance: some other request had to be sent to the same server.

Ruled out: counting each lost connection; answers are lost without a crash too.

Change: the instance that lost a run before its first event opens a connection. If it succeeds it is kept for the next request; if it fails, the crash is confirmed.

Evidence: CrashIsNoticedWithoutOtherRequests failed before (3 crashes, 2 expected) and passes now; ProbeReportsFailureAndKeepsConnection, http1-pool-test and gateway-stop-test pass.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -413,6 +413,7 @@
   m_may_have_run = m_may_have_run || m_was_sent;
   const bool is_lost = reason == kConnectionLost && m_run_event_count == 0;
   ReleaseRun(is_lost ? RunOutcome::kLost : RunOutcome::kFailed);
+  if (is_lost) ProbeBackend();
   m_excluded_backends.insert(m_backend_id);
   m_event_splitter.DiscardPartial();
   LogEvent(EventId::kRunFailed, {{"request", m_request.id.Text()},
@@ -425,6 +426,14 @@
   if (m_state != State::kEnded) Fail("run_failed");
 }
 
+void Call::ProbeBackend() {
+  const Backend* backend = m_context.routing_state.FindBackend(m_backend_id);
+  if (backend == nullptr) return;
+  m_context.pool.Probe(backend->address, [&dispatcher = m_context.dispatcher, id = backend->id] {
+    dispatcher.AvoidBackend(id, kAvoidDuration, true);
+  });
+}
+
 bool Call::TryResubmit(bool was_sent) {
   const bool has_time = RemainingTime() > Millis{0};
   bool is_allowed = has_time;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -76,6 +76,8 @@
   /// Handles a response which states that the backend server did not run the request.
   void OnNotRun();
   void OnRunFailed(const std::string& reason);
+  /// Finds out whether the backend server has crashed, after it lost the connection of a run.
+  void ProbeBackend();
   /// Queues the request for another backend server.
   /// @param was_sent true when the last run may have been sent, so that the retry counts against
   /// the retry budget. If it is false and no retry is allowed, this function also ends the call.
--- a/src/kernel/http1-pool.h
+++ b/src/kernel/http1-pool.h
@@ -77,6 +77,9 @@
   std::unique_ptr<PooledCall> StartCall(const Address& address, std::string bytes,
                                         PooledCallHandlers handlers,
                                         bool use_new_connection = false);
+  /// Opens a connection, which is kept for a later call.
+  /// @param on_failure called if no connection can be established
+  void Probe(const Address& address, std::function<void()> on_failure);
   /// Closes the idle connections to an address.
   void CloseIdle(const Address& address);
   /// @return true if there is an idle connection to the address
--- a/test/gateway-crash-fleet-test.cc
+++ b/test/gateway-crash-fleet-test.cc
@@ -172,4 +172,14 @@
   BOOST_TEST(CrashCount() == 2U);
 }
 
+// Guards against crashes that are not noticed because no other request goes to the crashed engine.
+BOOST_FIXTURE_TEST_CASE(CrashIsNoticedWithoutOtherRequests, Fixture) {
+  const Gateway& gateway = StartGateway();
+  for (int i = 0; i < kEngines; ++i) {
+    Send(gateway, kCrasher);
+    RunFor(Millis{300});
+  }
+  BOOST_TEST(CrashCount() == 2U);
+}
+
 }  // namespace bluebellpass::test
