--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -190,6 +190,15 @@
   json address = MakeBackendDocument();
   address["addr"] = "nowhere";
   BOOST_TEST(!IsOk(kProtocol.DecodeBackend("b", address)));
+  for (const char* port : {"0", "65536", "99999999999999999999", "-1"}) {
+    address["addr"] = std::string("10.1.2.3:") + port;
+    BOOST_TEST(!IsOk(kProtocol.DecodeBackend("b", address)), port);
+  }
+  for (const double slots : {-1.0, 1e7, 3e9, 1e300}) {
+    json odd_slots = MakeBackendDocument();
+    odd_slots["slots"] = slots;
+    BOOST_TEST(!IsOk(kProtocol.DecodeBackend("b", odd_slots)), slots);
+  }
   for (const json& document : {json("text"), json(nullptr), json(5), json(json::array())})
     BOOST_TEST(!IsOk(kProtocol.DecodeBackend("b", document)));
 }
@@ -285,4 +294,41 @@
   BOOST_TEST((std::get<gateway::ObjectPage>(*result).revision == gateway::Revision(3)));
 }
 
+// Guards against a list that is lost, or a process that ends, because of one unreadable entry of
+// another writer.
+BOOST_AUTO_TEST_CASE(UnreadableEntryDoesNotHideTheOthers) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string values[] = {nested,         "1e999",      "-1e999",       "[1e400]",
+                                "\"\xff\xfe\"", "\"a\x01b\"", "{\"a\":1e999}"};
+  EventLoop loop;
+  std::string body;
+  Http1Server server(loop, {},
+                     [&](const std::shared_ptr<HttpExchange>& call) { call->Send(200, {}, body); });
+  PlatformStore store(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})));
+  for (const std::string& value : values) {
+    BOOST_TEST_CONTEXT(value.substr(0, 20)) {
+      const std::string sound = MakeBackendDocument().dump();
+      body = R"({"items":[{"meta":{"name":"a","rev":2},"spec":)" + sound +
+             R"(},{"meta":{"name":"odd","rev":3},"spec":{"service":"s","addr":"10.1.2.3:1",)" +
+             R"("state":"ready","slots":)" + value + R"(}},{"meta":{"name":"b","rev":4},"spec":)" +
+             sound + R"(}],"has_more":false,"current_rev":4})";
+      std::optional<Result<gateway::ObjectPage>> result;
+      store.List(gateway::ObjectKind::kBackends, "", gateway::ReadConsistency::kCurrent,
+                 [&](Result<gateway::ObjectPage> page) { result = std::move(page); });
+      const TimePoint end = std::chrono::steady_clock::now() + Millis{5'000};
+      while (!result && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
+      BOOST_REQUIRE(result.has_value());
+      BOOST_REQUIRE(IsOk(*result));
+      std::vector<std::string> usable;
+      for (const gateway::StoredObject& object : std::get<gateway::ObjectPage>(*result).objects) {
+        // Instances relay entries to each other as text.
+        BOOST_TEST(!object.spec->dump().empty());
+        if (IsOk(kProtocol.DecodeBackend(object.name, *object.spec))) usable.push_back(object.name);
+      }
+      BOOST_TEST((usable == std::vector<std::string>{"a", "b"}));
+    }
+  }
+}
+
 }  // namespace bluebellpass::platform
