Do not take a repeated refusal for the answer to the next request

Operators of a similar system saw clients told 'not run, try again' for requests that an engine was running (REFUSED), or such a request at a second engine (TWICE).

It could happen here. Cause: a response with the id of another request was skipped, but a refusal without an id was taken for the current request on any connection. Engines repeat their ids, so on a kept connection a refusal without one may as well be an earlier one.

Change: on a kept connection such a refusal is skipped like a response to another request; the answer that follows counts. On a new connection it can only be ours.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -270,7 +270,9 @@
 bool Call::OnResponseHead(const HttpHead& head) {
   if (m_state != State::kSent) return true;
   const ResponseFields response = m_context.protocol.DecodeResponse(head);
-  if (response.has_id && response.id != m_request.id) return false;
+  // On a kept connection, a refusal without an id may be a repetition of an earlier one.
+  const bool is_attributed = response.has_id || !response.is_not_run || !m_pooled_call->IsReused();
+  if (!is_attributed || (response.has_id && response.id != m_request.id)) return false;
   m_response_head = head;
   return true;
 }
--- /dev/null
+++ b/test/gateway-response-test.cc
@@ -0,0 +1,164 @@
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+
+#include "cluster/process.h"
+#include "kernel/http1-pool.h"
+#include "platform/names.h"
+#include "raw-server.h"
+#include "soak/store-standin.h"
+
+/// Responses of backend servers to a gateway process, written byte by byte.
+
+namespace bluebellpass::test {
+namespace {
+
+namespace names = platform::names;
+using nlohmann::json;
+
+constexpr Millis kStartTimeout{10'000};
+constexpr Millis kStepTimeout{3'000};
+// Longer than a gateway avoids a backend server after a refusal.
+constexpr Millis kAvoidTime{700};
+
+struct Caller {
+  std::unique_ptr<PooledCall> call;
+  int status = 0;
+  std::string body;
+  std::optional<PooledCallResult> result;
+};
+
+struct Fixture {
+  EventLoop loop;
+  StoreStandin store{loop, 1};
+  std::vector<std::unique_ptr<RawServer>> engines;
+  HttpConnectionPool pool{loop, ConnectionPoolOptions{}};
+  Address gateway{"127.0.0.1", FindFreePort()};
+  Process process;
+
+  Fixture() {
+    const auto route = [](const char* prefix, const char* type, int attempts) {
+      return json{{"name", prefix},    {"host", "engine.test"}, {"path_prefix", prefix},
+                  {"type", type},      {"service", "s"},        {"attempts", attempts},
+                  {"resumable", true}, {"timeout_ms", 9'000},   {"goal_ms", 300},
+                  {"public", true}};
+    };
+    store.Put(
+        names::kConfigKind, names::kConfigName,
+        {{"version", 1},
+         {"routes", json::array({route("/book/", "mutating", 2), route("/chat/", "stream", 2)})},
+         {"services", json::array({{{"name", "s"}}})}});
+    const std::string directory = MakeLogFolder("gateway-response");
+    std::ofstream(directory + "/g.yaml")
+        << "node: g\nip: 127.0.0.1\nlisten:\n  front: " << gateway.Text() << "\nport_range: ["
+        << FindFreePort() << ", " << FindFreePort()
+        << "]\nbounds:\n  grace_s: 8\n  retry_ratio: 1\n  retry_slack: 50\nplatform:\n  addr: "
+        << store.Listen().Text() << "\n";
+    process = Process({std::string(BLUEBELLPASS_BINARY_DIR) + "/bluebellpass", "gateway",
+                       "--settings", directory + "/g.yaml"},
+                      directory + "/g.log");
+  }
+
+  template <class Condition>
+  bool RunUntil(Condition condition, Millis timeout = kStepTimeout) {
+    const TimePoint end = std::chrono::steady_clock::now() + timeout;
+    while (!condition() && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
+    return condition();
+  }
+  void RunFor(Millis duration) {
+    RunUntil([] { return false; }, duration);
+  }
+
+  /// Registers engines and waits until the gateway knows them.
+  void AddEngines(int count) {
+    for (int i = 0; i < count; ++i) {
+      engines.push_back(std::make_unique<RawServer>(loop));
+      store.Put(names::kBackendKind, "e" + std::to_string(i),
+                {{"service", "s"},
+                 {"addr", engines.back()->address.Text()},
+                 {"slots", 4},
+                 {"state", "ready"},
+                 {"born", 1'700'000'000'000}});
+    }
+    const bool is_serving = RunUntil(
+        [&] {
+          const auto probe = Send("/unknown/", "probe");
+          RunUntil([&] { return probe->result.has_value(); });
+          return probe->status == 404;
+        },
+        kStartTimeout);
+    BOOST_REQUIRE(is_serving);
+    RunFor(Millis{500});
+  }
+
+  std::unique_ptr<Caller> Send(const std::string& path, const std::string& id) {
+    auto caller = std::make_unique<Caller>();
+    Caller& state = *caller;
+    PooledCallHandlers handlers;
+    handlers.on_head = [&state](const HttpHead& head) {
+      state.status = head.status;
+      return true;
+    };
+    handlers.on_body = [&state](std::string_view bytes) { state.body.append(bytes); };
+    handlers.on_end = [&state](PooledCallResult result) { state.result = result; };
+    const std::string head = SerializeRequest(
+        "POST", path, {{"Host", "engine.test"}, {names::kAttempt, id}, {"Content-Length", "2"}});
+    state.call = pool.StartCall(gateway, head + "ok", std::move(handlers), true);
+    return caller;
+  }
+
+  /// @return a connection on which an engine has received a request, or null
+  std::shared_ptr<TcpStream> FindReceiver(const std::string& id) {
+    for (const auto& engine : engines)
+      for (std::size_t i = 0; i < engine->streams.size(); ++i)
+        if (engine->received[i].find(std::string(names::kAttempt) + ": " + id + "\r\n") !=
+                std::string::npos &&
+            engine->streams[i]->IsOpen())
+          return engine->streams[i];
+    return nullptr;
+  }
+  std::shared_ptr<TcpStream> WaitForReceiver(const std::string& id) {
+    BOOST_REQUIRE(RunUntil([&] { return FindReceiver(id) != nullptr; }));
+    return FindReceiver(id);
+  }
+  /// Answers a request and waits until the caller has the response.
+  void Respond(const std::string& id, const std::string& response, const Caller& caller) {
+    WaitForReceiver(id)->Write(response);
+    BOOST_REQUIRE(RunUntil([&] { return caller.result.has_value(); }));
+  }
+  static std::string Success(const std::string& id, const std::string& fields = "") {
+    return "HTTP/1.1 200 OK\r\n" + std::string(names::kAttempt) + ": " + id + "\r\n" +
+           names::kSignature + ": s\r\n" + fields + "Content-Length: 4\r\n\r\ndone";
+  }
+};
+
+}  // namespace
+
+// Guards against taking a refusal that an engine repeats on a kept connection for the answer to the
+// next request.
+BOOST_FIXTURE_TEST_CASE(RepeatedRefusalIsNotTakenForTheNextRequest, Fixture) {
+  AddEngines(1);
+  const std::string refusals[] = {
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n"};
+  // Leaves a kept connection.
+  const auto first = Send("/book/x", "first");
+  Respond("first", Success("first"), *first);
+  int number = 0;
+  for (const std::string& refusal : refusals) {
+    BOOST_TEST_CONTEXT(refusal) {
+      const std::string id = "next" + std::to_string(++number);
+      const auto next = Send("/book/x", id);
+      const auto connection = WaitForReceiver(id);
+      connection->Write(refusal);
+      RunFor(Millis{200});
+      connection->Write(Success(id));
+      BOOST_TEST(RunUntil([&] { return next->result.has_value(); }));
+      BOOST_TEST(next->status == 200);
+      RunFor(kAvoidTime);
+    }
+  }
+}
+
+}  // namespace bluebellpass::test
