Continue a stream only with a response of the same status

Here: errors, their heads, unsigned responses and bytes that are no response were kept out of the stream already. Cause of what remained: any signed success ended the stream, so a 204 of the next engine made a broken stream look complete.

Change: a started stream is continued or completed only by a response with the status it was started with; any other is a refused resumption.

Evidence: ErrorOnResumptionDoesNotReachTheStream plays eight answers after a stream that broke off inside an event.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -282,13 +282,13 @@
   const ResponseFields response = m_context.protocol.DecodeResponse(m_response_head);
   const bool is_signed_success =
       IsSuccess(m_response_head.status) && response.has_id && response.has_signature;
-  if (is_signed_success && m_route->is_stream) return ForwardStream(bytes);
+  if (is_signed_success && IsStreamSuccess()) return ForwardStream(bytes);
   m_response_body.append(bytes);
   if (!is_signed_success && m_response_body.size() > kMaxIncompleteBytes)
     return OnPooledCallResult(PooledCallResult::kMalformedResponse);
   if (!is_signed_success || m_response_body.size() <= kMaxBufferedResponseBytes) return;
   if (!HasResponseStarted()) {
-    m_exchange->Start(m_response_head.status, m_context.protocol.EncodeResponse(m_response_head));
+    StartResponse();
     m_state = State::kResponding;
   }
   m_exchange->Write(m_response_body);
@@ -296,6 +296,17 @@
   ApplyBackpressure();
 }
 
+bool Call::IsStreamSuccess() const {
+  const int status = m_response_head.status;
+  return m_route->is_stream && IsSuccess(status) &&
+         (!HasResponseStarted() || status == m_started_status);
+}
+
+void Call::StartResponse() {
+  m_started_status = m_response_head.status;
+  m_exchange->Start(m_started_status, m_context.protocol.EncodeResponse(m_response_head));
+}
+
 void Call::ForwardStream(std::string_view bytes) {
   const TimePoint now = m_context.loop.Now();
   const std::size_t events_before = m_event_splitter.EventCount();
@@ -303,9 +314,7 @@
   if (m_event_splitter.PartialBytes() > kMaxIncompleteBytes)
     return OnPooledCallResult(PooledCallResult::kMalformedResponse);
   if (complete_events.empty()) return;
-  if (!HasResponseStarted()) {
-    m_exchange->Start(m_response_head.status, m_context.protocol.EncodeResponse(m_response_head));
-  }
+  if (!HasResponseStarted()) StartResponse();
   m_state = State::kResponding;
   if (!m_first_event_at) {
     m_first_event_at = now;
@@ -363,11 +372,10 @@
   if (response.is_not_run) return OnNotRun();
   if (!response.has_id || (IsSuccess(status) && !response.has_signature))
     return OnRunFailed("unsigned_reply");
-  if (IsSuccess(status) && m_route->is_stream) {
+  if (IsStreamSuccess()) {
     if (m_event_splitter.PartialBytes() != 0) return OnRunFailed("partial_event");
     ReleaseRun(RunOutcome::kCompleted);
-    if (!HasResponseStarted())
-      m_exchange->Start(status, m_context.protocol.EncodeResponse(m_response_head));
+    if (!HasResponseStarted()) StartResponse();
     m_exchange->End();
     return Finish("completed", status, "");
   }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -71,6 +71,9 @@
   void OnResponseBody(std::string_view bytes);
   void OnPooledCallResult(PooledCallResult result);
   void OnResponseComplete();
+  /// @return true if the response head may start the caller's stream or continue it
+  bool IsStreamSuccess() const;
+  void StartResponse();
   void ForwardStream(std::string_view bytes);
   void ApplyBackpressure();
   /// Handles a response which states that the backend server did not run the request.
@@ -121,6 +124,7 @@
   bool m_was_sent = false;      ///< the current run was sent to its backend server
   bool m_may_have_run = false;  ///< a backend server may have started to run the request
   HttpHead m_response_head;
+  int m_started_status = 0;  ///< of the response to the caller; 0 before it starts
   std::string m_response_body;
   EventSplitter m_event_splitter;
   std::optional<TimePoint> m_first_event_at;
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -161,4 +161,45 @@
   }
 }
 
+// Guards against an error of the engine that continues a stream in the caller's stream, and against
+// a stream that looks complete after it.
+BOOST_FIXTURE_TEST_CASE(ErrorOnResumptionDoesNotReachTheStream, Fixture) {
+  AddEngines(2);
+  const std::string event = "id: 1\ndata: x\n\n";
+  const auto head = [](const std::string& status, const std::string& id) {
+    return "HTTP/1.1 " + status + "\r\n" + names::kAttempt + ": " + id + "\r\n";
+  };
+  const std::string signature = std::string(names::kSignature) + ": s\r\n";
+  const std::string text = "Content-Length: 5\r\n\r\nboom\n";
+  int number = 0;
+  for (int variant = 0; variant < 8; ++variant) {
+    const std::string id = "stream" + std::to_string(++number);
+    const std::string errors[] = {head("500 Error", id) + signature + text,
+                                  head("500 Error", id) + text,
+                                  head("503 Busy", id) + text,
+                                  head("200 OK", id) + text,
+                                  head("204 None", id) + signature + "\r\n",
+                                  head("302 Found", id) + signature + text,
+                                  "boom\r\n\r\n",
+                                  head("500 Error", id) + signature + "\r\nid: 2\ndata: boom\n\n"};
+    BOOST_TEST_CONTEXT(errors[variant]) {
+      const auto caller = Send("/chat/x", id);
+      const auto started = WaitForReceiver(id);
+      started->Write(head("200 OK", id) + signature + "Content-Type: text/event-stream\r\n\r\n" +
+                     event + "id: 2\nda");
+      BOOST_REQUIRE(RunUntil([&] { return !caller->body.empty(); }));
+      started->CloseAfterWrites();
+      BOOST_REQUIRE(RunUntil([&] { return !started->IsOpen(); }));
+      const auto resumed = WaitForReceiver(id);
+      resumed->Write(errors[variant]);
+      RunFor(Millis{50});
+      resumed->CloseAfterWrites();
+      BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }));
+      BOOST_TEST(caller->body == event);
+      BOOST_TEST((*caller->result == PooledCallResult::kConnectionBroken));
+      RunFor(kAvoidTime);
+    }
+  }
+}
+
 }  // namespace bluebellpass::test
