Send nothing to a backend server that says in a response that it leaves

Cause: the field was not read. A server that never reports draining in the store got requests until its entry was gone.

Ruled out: leaving it to the coordinator alone; a grant may be under way, and a new coordinator does not know. The instance that saw the field therefore keeps it per start of the server, excludes the server from its requests and checks again at the send.

Change: BackendNotices holds it; the coordinator is told to grant nothing there for a minute. A new start of the server gets requests again.

--- /dev/null
+++ b/src/gateway/backend-notices.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "model.h"
+
+namespace bluebellpass::gateway {
+
+/// What backend servers have told this instance in their responses: that they are leaving, or that
+/// they want no requests from it for a while.
+class BackendNotices {
+ public:
+  void SetLeaving(const BackendStart& backend, TimePoint now) { Hold(backend, now + kLeavingHold); }
+  /// @param retry_after time for which the backend server wants no requests
+  void SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
+    Hold(backend, now + std::min(retry_after, kMaxBusyHold));
+  }
+  /// @return true if this instance may send requests to the backend server
+  bool MaySendTo(const BackendStart& backend, TimePoint now) const {
+    const auto found = m_held_until.find(backend);
+    return found == m_held_until.end() || found->second <= now;
+  }
+  /// Adds those of the registered backend servers that get no requests to a set.
+  void AddHeld(const std::map<BackendId, Backend>& registered, std::set<BackendId>& held,
+               TimePoint now) const {
+    for (const auto& [backend, until] : m_held_until) {
+      const auto found = registered.find(backend.id);
+      if (until > now && found != registered.end() && found->second.Start() == backend)
+        held.insert(backend.id);
+    }
+  }
+
+ private:
+  // Leaving servers exit some seconds after they have said so; a new start is another BackendStart.
+  static constexpr Millis kLeavingHold{600'000};
+  static constexpr Millis kMaxBusyHold{3'600'000};
+
+  void Hold(const BackendStart& backend, TimePoint until) {
+    std::erase_if(m_held_until, [&](const auto& entry) {
+      return entry.first.id == backend.id && entry.first != backend;
+    });
+    TimePoint& held_until = m_held_until[backend];
+    held_until = std::max(held_until, until);
+  }
+
+  std::map<BackendStart, TimePoint> m_held_until;
+};
+
+}  // namespace bluebellpass::gateway
--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -17,6 +17,8 @@
 // How long a backend server gets no work after another one responded at its address. Longer than
 // kAvoidDuration, because it cannot be reached until it registers again.
 constexpr Millis kWrongBackendAvoidDuration{5'000};
+// How long a leaving backend server gets no work from any instance, unless it starts again.
+constexpr Millis kLeavingAvoidDuration{60'000};
 // How long requests wait for the first configuration after the start of the process. Loading it
 // usually takes less time than the round trip of a refused caller.
 constexpr Millis kMaxConfigWait{1'000};
@@ -180,6 +182,8 @@
   request.max_event_gap = m_route->max_event_gap;
   request.patience = PatienceOf(*m_route);
   request.excluded_backends = m_excluded_backends;
+  m_context.backend_notices.AddHeld(m_context.routing_state.Backends(), request.excluded_backends,
+                                    m_context.loop.Now());
   if (m_organisation != nullptr)
     request.quota_cost = QuotaLimiter::CostOf(*m_organisation, m_request);
   request.fingerprint = StableHash(
@@ -213,7 +217,10 @@
     if (HasResponseStarted() || m_may_have_run) return Fail("config_stale");
     return Refuse(kUnavailable, "config_stale", kRetryAfterUnavailable);
   }
-  if (backend == nullptr || backend->is_draining || backend->service != m_service) {
+  // The request may have been queued before the backend server asked for no more.
+  const bool is_held = backend != nullptr &&
+                       !m_context.backend_notices.MaySendTo(backend->Start(), m_context.loop.Now());
+  if (backend == nullptr || backend->is_draining || backend->service != m_service || is_held) {
     ReleaseRun(RunOutcome::kNotRun);
     m_excluded_backends.insert(id);
     TryResubmit(false);
@@ -223,6 +230,7 @@
 }
 
 void Call::Send(const Backend& backend) {
+  m_backend_start = backend.Start();
   DispatchFields fields;
   fields.expected_backend = backend.id;
   fields.deadline = std::max(RemainingTime(), Millis{1});
@@ -274,9 +282,16 @@
   const bool is_attributed = response.has_id || !response.is_not_run || !m_pooled_call->IsReused();
   if (!is_attributed || (response.has_id && response.id != m_request.id)) return false;
   m_response_head = head;
+  RecordNotices(response);
   return true;
 }
 
+void Call::RecordNotices(const ResponseFields& response) {
+  if (!response.is_leaving) return;
+  m_context.backend_notices.SetLeaving(m_backend_start, m_context.loop.Now());
+  m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
+}
+
 void Call::OnResponseBody(std::string_view bytes) {
   if (m_state != State::kSent && m_state != State::kResponding) return;
   const ResponseFields response = m_context.protocol.DecodeResponse(m_response_head);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "backend-notices.h"
 #include "bluebellpass/timer.h"
 #include "dispatcher.h"
 #include "event-splitter.h"
@@ -31,6 +32,7 @@
   Dispatcher& dispatcher;
   HttpConnectionPool& pool;
   RetryBudgets& retry_budgets;
+  BackendNotices& backend_notices;
   Metrics& metrics;
 };
 
@@ -68,6 +70,8 @@
   void Send(const Backend& backend);
   PooledCallHandlers MakePooledCallHandlers();
   bool OnResponseHead(const HttpHead& head);
+  /// Records what the backend server says about itself in a response.
+  void RecordNotices(const ResponseFields& response);
   void OnResponseBody(std::string_view bytes);
   void OnPooledCallResult(PooledCallResult result);
   void OnResponseComplete();
@@ -116,6 +120,7 @@
   Timer m_backpressure_timer;
 
   BackendId m_backend_id;
+  BackendStart m_backend_start;  ///< of the current run
   std::set<BackendId> m_excluded_backends;
   int m_send_count = 0;  ///< backend servers that the request was sent to
   int m_unsent_retry_count = 0;
--- a/src/gateway/crash-records.h
+++ b/src/gateway/crash-records.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,14 +12,6 @@
 
 namespace bluebellpass::gateway {
 
-/// A backend server between two starts, as far as it states them.
-struct BackendStart {
-  BackendId id;
-  std::uint64_t started_at = 0;  ///< 0 if unknown
-
-  auto operator<=>(const BackendStart&) const = default;
-};
-
 /// Runs without an event whose connections were lost when a backend server crashed, or may have.
 struct CrashRecord {
   BackendStart backend;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -409,8 +409,8 @@
     return exchange->Send(kUnavailable,
                           m_platform.protocol->EncodeLocalResponse(id, kRetryAfterStopping), "");
   }
-  const CallContext context{m_loop, *m_platform.protocol, m_routing_state, m_fleet,
-                            m_pool, m_retry_budgets,      m_metrics};
+  const CallContext context{m_loop, *m_platform.protocol, m_routing_state,   m_fleet,
+                            m_pool, m_retry_budgets,      m_backend_notices, m_metrics};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,6 +88,7 @@
   Fleet m_fleet;
   HttpConnectionPool m_pool;
   RetryBudgets m_retry_budgets;
+  BackendNotices m_backend_notices;
   Http1Server m_caller_server;
   Http1Server m_ready_server;
   Http1Server m_directory_server;
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -88,6 +89,14 @@
   CallerLimits limits;
 };
 
+/// A backend server between two starts, as far as it states them.
+struct BackendStart {
+  BackendId id;
+  std::uint64_t started_at = 0;  ///< 0 if unknown
+
+  auto operator<=>(const BackendStart&) const = default;
+};
+
 /// A backend server, as registered by itself.
 struct Backend {
   BackendId id;
@@ -98,6 +107,8 @@
   int slots = 0;
   bool is_draining = false;
   Millis warmup_remaining{0};  ///< time until its warm-up ends, at the time of its report
+
+  BackendStart Start() const { return {id, started_at}; }
 };
 
 /// A caller's request, as parsed from its HTTP head.
@@ -132,6 +143,7 @@
   bool is_not_run = false;  ///< the backend server has not run the request and will not run it
   bool is_wrong_backend = false;  ///< another backend server uses the address
   bool has_signature = false;     ///< the backend server has signed the response
+  bool is_leaving = false;        ///< the backend server will exit soon and wants no requests
   struct Load {
     int running = 0;
     int waiting = 0;
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -202,4 +202,28 @@
   }
 }
 
+// Guards against requests to a backend server that has said in a response that it is leaving.
+BOOST_FIXTURE_TEST_CASE(LeavingServerGetsNoMoreRequests, Fixture) {
+  AddEngines(1);
+  const auto last = Send("/book/x", "last");
+  Respond("last", Success("last", "Server-Leaving: 1\r\n"), *last);
+  BOOST_TEST(last->status == 200);
+  for (const char* id : {"after1", "after2"}) {
+    const auto after = Send("/book/x", id);
+    RunFor(kAvoidTime);
+    BOOST_TEST(FindReceiver(id) == nullptr);
+  }
+  // A new start under the same id gets requests again.
+  store.Put(names::kBackendKind, "e0",
+            {{"service", "s"},
+             {"addr", engines[0]->address.Text()},
+             {"slots", 4},
+             {"state", "ready"},
+             {"born", 1'700'000'009'000}});
+  RunFor(Millis{500});
+  const auto restarted = Send("/book/x", "restarted");
+  Respond("restarted", Success("restarted"), *restarted);
+  BOOST_TEST(restarted->status == 200);
+}
+
 }  // namespace bluebellpass::test
