--- a/src/gateway/backend-notices.h
+++ b/src/gateway/backend-notices.h
@@ -12,7 +12,12 @@
 /// they want no requests from it for a while.
 class BackendNotices {
  public:
-  void SetLeaving(const BackendStart& backend, TimePoint now) { Hold(backend, now + kLeavingHold); }
+  /// @return true if this was not known
+  bool SetLeaving(const BackendStart& backend, TimePoint now) {
+    const bool is_new = MaySendTo(backend, now);
+    Hold(backend, now + kLeavingHold);
+    return is_new;
+  }
   /// @param retry_after time for which the backend server wants no requests
   void SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
     Hold(backend, now + std::min(retry_after, kMaxBusyHold));
--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -288,7 +288,8 @@
 
 void Call::RecordNotices(const ResponseFields& response) {
   if (!response.is_leaving) return;
-  m_context.backend_notices.SetLeaving(m_backend_start, m_context.loop.Now());
+  if (!m_context.backend_notices.SetLeaving(m_backend_start, m_context.loop.Now())) return;
+  LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
   m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
 }
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -148,6 +148,9 @@
       decode(200, {{"Request-Id", "r"}, {"Instance-Seal", "s"}, {"Instance-Load", "3,1,8"}});
   BOOST_TEST(response.has_signature);
   BOOST_TEST(response.load.value().waiting == 1);
+  BOOST_TEST(!response.is_leaving);
+  BOOST_TEST(decode(200, {{"Server-Leaving", "1"}}).is_leaving);
+  BOOST_TEST(!decode(200, {{"Server-Leaving", "0"}}).is_leaving);
 }
 
 // Guards against configuration fields that are decoded to the wrong members.
