Wait as long as a backend server that turns a request away asks for

Cause: the field was not read; a server that refused was avoided for half a second.

Ruled out: avoiding the server for the whole fleet. It speaks of one instance, and the others may still use it.

Change: the instance excludes the server from its requests until then and checks again at the send.

--- a/src/gateway/backend-notices.h
+++ b/src/gateway/backend-notices.h
@@ -12,15 +12,14 @@
 /// they want no requests from it for a while.
 class BackendNotices {
  public:
-  /// @return true if this was not known
+  /// @return true if the backend server was not held before
   bool SetLeaving(const BackendStart& backend, TimePoint now) {
-    const bool is_new = MaySendTo(backend, now);
-    Hold(backend, now + kLeavingHold);
-    return is_new;
+    return Hold(backend, kLeavingHold, now);
   }
   /// @param retry_after time for which the backend server wants no requests
-  void SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
-    Hold(backend, now + std::min(retry_after, kMaxBusyHold));
+  /// @return true if the backend server was not held before
+  bool SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
+    return Hold(backend, std::min(retry_after, kMaxBusyHold), now);
   }
   /// @return true if this instance may send requests to the backend server
   bool MaySendTo(const BackendStart& backend, TimePoint now) const {
@@ -42,12 +41,13 @@
   static constexpr Millis kLeavingHold{600'000};
   static constexpr Millis kMaxBusyHold{3'600'000};
 
-  void Hold(const BackendStart& backend, TimePoint until) {
+  bool Hold(const BackendStart& backend, Millis duration, TimePoint now) {
     std::erase_if(m_held_until, [&](const auto& entry) {
-      return entry.first.id == backend.id && entry.first != backend;
+      return entry.second <= now || (entry.first.id == backend.id && entry.first != backend);
     });
-    TimePoint& held_until = m_held_until[backend];
-    held_until = std::max(held_until, until);
+    const auto [found, is_new] = m_held_until.try_emplace(backend, now + duration);
+    found->second = std::max(found->second, now + duration);
+    return is_new;
   }
 
   std::map<BackendStart, TimePoint> m_held_until;
--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -287,10 +287,14 @@
 }
 
 void Call::RecordNotices(const ResponseFields& response) {
-  if (!response.is_leaving) return;
-  if (!m_context.backend_notices.SetLeaving(m_backend_start, m_context.loop.Now())) return;
-  LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
-  m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
+  const TimePoint now = m_context.loop.Now();
+  if (response.is_leaving && m_context.backend_notices.SetLeaving(m_backend_start, now)) {
+    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
+    m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
+  }
+  if (response.retry_after &&
+      m_context.backend_notices.SetBusy(m_backend_start, *response.retry_after, now))
+    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
 }
 
 void Call::OnResponseBody(std::string_view bytes) {
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -144,6 +144,8 @@
   bool is_wrong_backend = false;  ///< another backend server uses the address
   bool has_signature = false;     ///< the backend server has signed the response
   bool is_leaving = false;        ///< the backend server will exit soon and wants no requests
+  /// With a refusal: the backend server wants no requests from this instance for so long.
+  std::optional<Millis> retry_after;
   struct Load {
     int running = 0;
     int waiting = 0;
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -45,7 +45,8 @@
     store.Put(
         names::kConfigKind, names::kConfigName,
         {{"version", 1},
-         {"routes", json::array({route("/book/", "mutating", 2), route("/chat/", "stream", 2)})},
+         {"routes", json::array({route("/book/", "mutating", 2), route("/once/", "mutating", 1),
+                                 route("/chat/", "stream", 2)})},
          {"services", json::array({{{"name", "s"}}})}});
     const std::string directory = MakeLogFolder("gateway-response");
     std::ofstream(directory + "/g.yaml")
@@ -226,4 +227,26 @@
   BOOST_TEST(restarted->status == 200);
 }
 
+// Guards against requests to a backend server that has asked this instance to wait.
+BOOST_FIXTURE_TEST_CASE(BusyServerGetsNoRequestsUntilItsRetryAfter, Fixture) {
+  AddEngines(1);
+  const auto refused = Send("/once/x", "refused");
+  const TimePoint refused_at = std::chrono::steady_clock::now();
+  Respond("refused",
+          "HTTP/1.1 503 Busy\r\nRequest-Id: refused\r\nNot-Run: 1\r\nRetry-After: 2.5\r\n"
+          "Content-Length: 0\r\n\r\n",
+          *refused);
+  BOOST_TEST(refused->status == 503);
+  RunFor(Millis{600});
+  while (std::chrono::steady_clock::now() - refused_at < Millis{2'000}) {
+    const auto early = Send("/once/x", "early");
+    RunFor(Millis{100});
+    BOOST_REQUIRE(FindReceiver("early") == nullptr);
+  }
+  RunFor(Millis{1'000});
+  const auto later = Send("/once/x", "later");
+  Respond("later", Success("later"), *later);
+  BOOST_TEST(later->status == 200);
+}
+
 }  // namespace bluebellpass::test
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -151,6 +151,10 @@
   BOOST_TEST(!response.is_leaving);
   BOOST_TEST(decode(200, {{"Server-Leaving", "1"}}).is_leaving);
   BOOST_TEST(!decode(200, {{"Server-Leaving", "0"}}).is_leaving);
+  BOOST_TEST((decode(503, {{"Retry-After", "1.25"}}).retry_after == Millis{1'250}));
+  BOOST_TEST((decode(503, {{"Retry-After", "3"}}).retry_after == Millis{3'000}));
+  for (const char* value : {"", "-1", "soon", "1e300", "nan", "inf"})
+    BOOST_TEST(!decode(503, {{"Retry-After", value}}).retry_after.has_value(), value);
 }
 
 // Guards against configuration fields that are decoded to the wrong members.
