--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "bluebellpass/types.h"
@@ -94,7 +94,10 @@
   BackendId id;
   std::uint64_t started_at = 0;  ///< 0 if unknown
 
-  auto operator<=>(const BackendStart&) const = default;
+  bool operator==(const BackendStart&) const = default;
+  bool operator<(const BackendStart& other) const {
+    return std::tie(id, started_at) < std::tie(other.id, other.started_at);
+  }
 };
 
 /// A backend server, as registered by itself.
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 const PlatformProtocol kProtocol;
+// Levels of an entry that another writer may leave within the store's limit on its size.
+constexpr std::size_t kNestedDepth = 200'000;
 
 HttpHead MakeCallerHead() {
   HttpHead head;
@@ -304,8 +306,7 @@
 // Guards against a list that is lost, or a process that ends, because of one unreadable entry of
 // another writer.
 BOOST_AUTO_TEST_CASE(UnreadableEntryDoesNotHideTheOthers) {
-  constexpr std::size_t kDepth = 200'000;
-  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string nested = std::string(kNestedDepth, '[') + std::string(kNestedDepth, ']');
   const std::string values[] = {nested,         "1e999",      "-1e999",       "[1e400]",
                                 "\"\xff\xfe\"", "\"a\x01b\"", "{\"a\":1e999}"};
   EventLoop loop;
