Count a request that was still sent to a crashed server to the same crash

Callers would have been refused a sound request: a crash could count twice.

Cause: a lost run that was granted after the first lost connection was taken for another crash of the same start, though a kept connection may be used before its end is noticed.

Ruled out: one crash per start without a time; servers restart before their entry tells.

Evidence: RunSentToACrashedServerIsNotAnotherCrash failed before (2 crashes counted instead of 1) and passes now, as does gateway-scheduler-test.

--- a/src/gateway/crash-records.cc
+++ b/src/gateway/crash-records.cc
@@ -24,7 +24,7 @@
                              TimePoint now) {
   RemoveExpired(now);
   auto record = std::find_if(m_records.begin(), m_records.end(), [&](const CrashRecord& known) {
-    return known.backend == backend && started <= known.at;
+    return known.backend == backend && started <= known.at + kMaxNoticeDelay;
   });
   CrashRecord& crash = record == m_records.end() ? Add(backend, now) : *record;
   crash.requests.insert(request);
--- a/src/gateway/crash-records.h
+++ b/src/gateway/crash-records.h
@@ -44,7 +44,8 @@
 class CrashRecords {
  public:
   /// Records that a run lost its connection before its first event.
-  /// @param started when the run was granted; a later start than an earlier crash is another one
+  /// @param started when the run was granted. A run that was granted some time after a crash was
+  /// sent to a server that had started again, so its loss belongs to another crash.
   void OnRunLost(const BackendStart& backend, const AttemptId& request, TimePoint started,
                  const std::vector<Fingerprint>& contents, TimePoint now);
   /// Records that a backend server accepts no connection. It has crashed if runs were lost shortly
--- a/test/gateway-crash-test.cc
+++ b/test/gateway-crash-test.cc
@@ -278,4 +278,17 @@
   BOOST_TEST(left.TakeChanges().IsEmpty());
 }
 
+// Guards against counting a crash twice because a request was still sent to the crashed server.
+BOOST_AUTO_TEST_CASE(RunSentToACrashedServerIsNotAnotherCrash) {
+  const Fingerprint content{1};
+  const BackendStart backend{BackendId("a"), 10};
+  CrashRecords records;
+  records.OnRunLost(backend, AttemptId("r1"), kStart, {content}, kStart + Millis{100});
+  records.OnBackendUnreachable(backend, kStart + Millis{110});
+  records.OnRunLost(backend, AttemptId("r2"), kStart + Millis{150}, {content},
+                    kStart + Millis{160});
+  records.OnBackendUnreachable(backend, kStart + Millis{170});
+  BOOST_TEST(records.CrashCount(content) == 1U);
+}
+
 }  // namespace bluebellpass::gateway
