Refuse quarantined requests that instances report to a new coordinator

Cause: requests that an instance reports over a new link were queued without a look at the quarantine, which was only applied when a record changed. Class of fault: as for queued requests, one way into the queue was not guarded.

Ruled out elsewhere: the ways into the queue are Submit, the delayed requests and the reports; all three are checked now.

Change: reported requests that are quarantined are refused as not run.

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -41,6 +41,10 @@
   });
 }
 
+void Coordinator::RefuseAsQuarantined(const RequestInfo& request) {
+  m_refusals.push_back({request.id, request.home, RefusalReason::kQuarantined, Millis{0}});
+}
+
 void Coordinator::RefuseQuarantined() {
   std::vector<RequestInfo> removed = m_scheduler.RemoveWaitingIf(
       [this](const RequestInfo& request) { return IsQuarantined(request); });
@@ -51,7 +55,7 @@
   });
   for (const RequestInfo& request : removed) {
     ReleaseReservation(request);
-    m_refusals.push_back({request.id, request.home, RefusalReason::kQuarantined, Millis{0}});
+    RefuseAsQuarantined(request);
   }
 }
 
@@ -71,7 +75,7 @@
 
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
   if (IsQuarantined(request)) {
-    m_refusals.push_back({request.id, request.home, RefusalReason::kQuarantined, Millis{0}});
+    RefuseAsQuarantined(request);
     return;
   }
   const Organisation* organisation = FindOrganisation(request.organisation);
@@ -162,7 +166,13 @@
   RemoveHome(home);
   for (const RunningRequest& run : running)
     m_scheduler.AdoptRun(run.request, run.backend, run.is_prefilling, now);
-  for (RequestInfo& request : waiting) Enqueue(std::move(request));
+  for (RequestInfo& request : waiting) {
+    if (IsQuarantined(request)) {
+      RefuseAsQuarantined(request);
+    } else {
+      Enqueue(std::move(request));
+    }
+  }
 }
 
 Decisions Coordinator::Decide(TimePoint now) {
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -72,6 +72,7 @@
 
   /// @return true when the request may have caused so many crashes that it must not run
   bool IsQuarantined(const RequestInfo& request) const;
+  void RefuseAsQuarantined(const RequestInfo& request);
   /// Refuses the queued requests that must not run any more.
   void RefuseQuarantined();
   const Organisation* FindOrganisation(const OrganisationId& id) const;
--- a/test/gateway-crash-test.cc
+++ b/test/gateway-crash-test.cc
@@ -291,4 +291,20 @@
   BOOST_TEST(records.CrashCount(content) == 1U);
 }
 
+// Guards against granting a quarantined request that was waiting for a former coordinator.
+BOOST_AUTO_TEST_CASE(ReportedRequestIsRefusedIfQuarantined) {
+  Coordinator coordinator;
+  const std::uint64_t content = 7;
+  CrashUpdate update;
+  for (const char* id : {"a", "b"})
+    update.records.push_back(
+        {{BackendId(id), 1}, kStart, true, kStart, {}, {Fingerprint(content)}});
+  coordinator.MergeCrashes(update, kStart);
+  coordinator.Decide(kStart);
+  coordinator.SyncRequests(InstanceId("home"), {RequestOf("w", content)}, {}, kStart);
+  const Decisions decisions = coordinator.Decide(kStart);
+  BOOST_REQUIRE(decisions.refusals.size() == 1U);
+  BOOST_TEST((decisions.refusals[0].reason == RefusalReason::kQuarantined));
+}
+
 }  // namespace bluebellpass::gateway
