Count crashes at the same moment once for whole requests too

Callers would have been refused a popular sound request for up to an hour.

Cause: with all runs without an event as suspects, the loss of two servers at once counted two crashes against a request that ran on both, and nothing could clear it any more once it was refused everywhere. Parts of prompts were protected by counting crashes within 200 ms once; whole requests were not.

Ruled out: a longer window; a crashing part that comes five times a second would crash more servers before its third counted crash.

Change: one count for both, which leaves out crashes within 200 ms of one that was counted.

Evidence: LossOfARackDoesNotQuarantineWhatRanThere failed before (refused) and passes now; CrashingRequestAmongOthersIsQuarantined and CrashingPartAmongOthersIsQuarantined as before (0 late sends).

--- a/src/gateway/coordinator.cc
+++ b/src/gateway/coordinator.cc
@@ -37,7 +37,7 @@
   if (m_crash_records.CrashCount(Fingerprint(request.fingerprint)) >= kCrashesToQuarantine)
     return true;
   return std::any_of(request.shared_parts.begin(), request.shared_parts.end(), [this](auto part) {
-    return m_crash_records.SeparateCrashCount(part) >= kCrashesToQuarantinePart;
+    return m_crash_records.CrashCount(part) >= kCrashesToQuarantinePart;
   });
 }
 
--- a/src/gateway/crash-records.cc
+++ b/src/gateway/crash-records.cc
@@ -70,12 +70,7 @@
 
 std::uint32_t CrashRecords::CrashCount(Fingerprint content) const {
   const auto found = m_crash_counts.find(content);
-  return found == m_crash_counts.end() ? 0 : found->second.all;
-}
-
-std::uint32_t CrashRecords::SeparateCrashCount(Fingerprint content) const {
-  const auto found = m_crash_counts.find(content);
-  return found == m_crash_counts.end() ? 0 : found->second.separate;
+  return found == m_crash_counts.end() ? 0 : found->second.count;
 }
 
 void CrashRecords::Recount() {
@@ -86,12 +81,11 @@
       return cleared != m_cleared.end() && record.at <= cleared->second.at;
     });
     for (const Fingerprint content : record.suspects) {
-      CrashCounts& counts = m_crash_counts[content];
+      CrashCounter& counter = m_crash_counts[content];
       if (!record.is_confirmed) continue;
-      ++counts.all;
-      if (counts.separate > 0 && record.at - counts.last_separate_at < kCommonCauseWindow) continue;
-      ++counts.separate;
-      counts.last_separate_at = record.at;
+      if (counter.count > 0 && record.at - counter.last_counted_at < kCommonCauseWindow) continue;
+      ++counter.count;
+      counter.last_counted_at = record.at;
     }
   }
 }
--- a/src/gateway/crash-records.h
+++ b/src/gateway/crash-records.h
@@ -54,10 +54,9 @@
   /// Clears contents of which a run completed.
   void OnRunCompleted(const std::vector<Fingerprint>& contents, TimePoint now);
 
-  /// @return number of crashes of which a content may be the cause
+  /// @return number of crashes of which a content may be the cause. Those shortly after one that
+  /// was counted are left out, since they may have a common cause.
   std::uint32_t CrashCount(Fingerprint content) const;
-  /// @return the same without crashes shortly after another one, which may have a common cause
-  std::uint32_t SeparateCrashCount(Fingerprint content) const;
   /// Removes records that have expired or were not confirmed in time.
   void RemoveExpired(TimePoint now);
   /// @return confirmed crashes that are new or have new suspects, and contents that were cleared,
@@ -74,10 +73,9 @@
     bool is_reported = false;
   };
 
-  struct CrashCounts {
-    std::uint32_t all = 0;
-    std::uint32_t separate = 0;
-    TimePoint last_separate_at;
+  struct CrashCounter {
+    std::uint32_t count = 0;
+    TimePoint last_counted_at;
   };
 
   /// @return the record of the crash that another instance has recorded, or a new one
@@ -90,7 +88,7 @@
   std::vector<CrashRecord> m_records;  ///< in order of time
   std::map<Fingerprint, Cleared> m_cleared;
   /// Derived from the records: confirmed crashes of each suspect, 0 if there are none.
-  std::unordered_map<Fingerprint, CrashCounts> m_crash_counts;
+  std::unordered_map<Fingerprint, CrashCounter> m_crash_counts;
 };
 
 }  // namespace bluebellpass::gateway
--- a/test/gateway-crash-fleet-test.cc
+++ b/test/gateway-crash-fleet-test.cc
@@ -149,10 +149,12 @@
     return static_cast<std::size_t>(std::count_if(
         engines.begin(), engines.end(), [](const auto& engine) { return engine->HasCrashed(); }));
   }
-  /// Sends the crashing request, then others, so that the crash is noticed.
+  /// Sends the crashing request, then others, so that the crash is noticed. The pause keeps it apart
+  /// from the next crash, since simultaneous ones count once.
   void SendCrasher(const Gateway& gateway) {
     Send(gateway, kCrasher);
     for (int i = 0; i < 2 * kEngines; ++i) Send(gateway, "sound" + std::to_string(i));
+    RunFor(Millis{500});
   }
 };
 
