Probe a server that lost a run after a delay

Cause: the connection that finds out whether a server crashed was opened at once. A process that exits may reset its connections before it closes its port.

How it was found: gateway-crash-fleet-test failed once in about 15 runs (3 crashes, 2 expected). Closing the port of the stand-in 50 ms after its connections made it fail each time.

Change: the connection is opened after 100 ms. The stand-in closes its port 30 ms after it resets its connections.

Evidence: with that stand-in both cases failed before (3 crashes each) and pass now; gateway-response-test and gateway-stop-test pass.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -17,6 +17,8 @@
 // How long a backend server gets no work after another one responded at its address. Longer than
 // kAvoidDuration, because it cannot be reached until it registers again.
 constexpr Millis kWrongBackendAvoidDuration{5'000};
+// A server that crashes may accept connections until all of its process has ended.
+constexpr Millis kProbeDelay{100};
 // How long a leaving backend server gets no work from any instance, unless it starts again.
 constexpr Millis kLeavingAvoidDuration{60'000};
 // How long requests wait for the first configuration after the start of the process. Loading it
@@ -462,9 +464,12 @@
 void Call::ProbeBackend() {
   const Backend* backend = m_context.routing_state.FindBackend(m_backend_id);
   if (backend == nullptr) return;
-  m_context.pool.Probe(backend->address, [&dispatcher = m_context.dispatcher, id = backend->id] {
-    dispatcher.AvoidBackend(id, kAvoidDuration, true);
-  });
+  const auto probe = [context = m_context, address = backend->address, id = backend->id] {
+    context.pool.Probe(address, [&dispatcher = context.dispatcher, id] {
+      dispatcher.AvoidBackend(id, kAvoidDuration, true);
+    });
+  };
+  m_context.loop.RunAfter(kProbeDelay, probe);
 }
 
 bool Call::TryResubmit(bool was_sent) {
@@ -558,41 +563,4 @@
   Finish("failed", status, reason);
 }
 
-void Call::Finish(const char* outcome, int status, const char* reason) {
-  m_state = State::kEnded;
-  m_timer.Stop();
-  m_backpressure_timer.Stop();
-  DropPooledCall();
-  m_exchange->OnClosed(nullptr);
-  const auto duration = m_context.loop.Now() - m_arrived_at;
-  const std::string route = m_route == nullptr ? "" : m_route->name;
-  LogEvent(EventId::kAnswered,
-           {{"request", m_request.id.Text()},
-            {"route", route},
-            {"outcome", outcome},
-            {"reason", reason},
-            {"status", std::int64_t{status}},
-            {"backend", m_backend_id.Text()},
-            {"sends", std::int64_t{m_send_count}},
-            {"ms", duration / Millis{1}},
-            {"first_event_ms", m_first_event_at ? (*m_first_event_at - m_sent_at) / Millis{1} : -1},
-            {"gap_us", static_cast<std::int64_t>(m_event_gaps.LowerTercile().count())},
-            {"events", static_cast<std::int64_t>(m_run_event_count)},
-            {"prompt_tokens", m_request.prompt_tokens.value_or(0)},
-            {"most_output_tokens", m_request.max_output_tokens},
-            {"output_hint", m_request.output_hint.value_or(-1)},
-            {"config",
-             static_cast<std::int64_t>(m_routing_table ? m_routing_table->Version().Value() : 0)}});
-  m_context.metrics.ObserveLatency("gateway_request_ms",
-                                   duration / std::chrono::duration<double, std::milli>(1),
-                                   "outcome=\"" + std::string(outcome) + "\"");
-  if (m_first_event_at)
-    m_context.metrics.ObserveLatency(
-        "gateway_first_event_ms",
-        (*m_first_event_at - m_arrived_at) / std::chrono::duration<double, std::milli>(1));
-  m_context.metrics.IncrementCounter(
-      "gateway_requests", "outcome=\"" + std::string(outcome) + "\",reason=\"" + reason + "\"");
-  if (const auto on_end = std::exchange(m_on_end, nullptr)) on_end();
-}
-
 }  // namespace bluebellpass::gateway
--- a/test/gateway-crash-fleet-test.cc
+++ b/test/gateway-crash-fleet-test.cc
@@ -19,6 +19,7 @@
 constexpr Millis kStartTimeout{10'000};
 constexpr Millis kResponseTimeout{3'000};
 constexpr int kEngines = 8;
+constexpr Millis kExitTime{30};
 constexpr char kCrasher[] = "crash";
 
 /// An engine that answers each request with one event, and stops listening when it begins to run
@@ -37,11 +38,9 @@
  private:
   void Handle(const std::shared_ptr<HttpExchange>& exchange) {
     if (exchange->Body() == kCrasher) {
-      // The exchange belongs to the server, which is destroyed after this call.
-      m_loop.Post([this, exchange] {
-        exchange->Abort();
-        m_server.reset();
-      });
+      // As in a process that exits slowly, connections are reset before the port is closed.
+      exchange->Abort();
+      m_loop.RunAfter(kExitTime, [this] { m_server.reset(); });
       return;
     }
     const std::string id = exchange->Head().Value(names::kAttempt);
@@ -149,8 +148,8 @@
     return static_cast<std::size_t>(std::count_if(
         engines.begin(), engines.end(), [](const auto& engine) { return engine->HasCrashed(); }));
   }
-  /// Sends the crashing request, then others, so that the crash is noticed. The pause keeps it apart
-  /// from the next crash, since simultaneous ones count once.
+  /// Sends the crashing request, then others, so that the crash is noticed. The pause keeps it
+  /// apart from the next crash, since simultaneous ones count once.
   void SendCrasher(const Gateway& gateway) {
     Send(gateway, kCrasher);
     for (int i = 0; i < 2 * kEngines; ++i) Send(gateway, "sound" + std::to_string(i));
