Send fingerprints as table fields, whose alignment is verified

Cause: vectors of 64-bit numbers in the messages between instances. The verifier of FlatBuffers checks the alignment of table fields, but not of scalars in vectors, so a corrupt payload made the decoder read at a misaligned address.

Ruled out: valid payloads; they are aligned, and the test passes without sanitizers.

Change: suspects and shared parts are tables with one field each.

Evidence: gateway-fleet-codec-test failed under ASan and UBSan before and passes now.

--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -99,8 +99,9 @@
   Item operator()(const CrashesMessage& message) {
     std::vector<Offset<wire::CrashT>> records;
     for (const CrashRecord& record : message.update.records) {
-      std::vector<std::uint64_t> suspects;
-      for (const Fingerprint content : record.suspects) suspects.push_back(content.Value());
+      std::vector<Offset<wire::FingerprintT>> suspects;
+      for (const Fingerprint content : record.suspects)
+        suspects.push_back(wire::CreateFingerprintT(m_builder, content.Value()));
       records.push_back(wire::CreateCrashT(m_builder, Encode(record.backend.id),
                                            record.backend.started_at, ToMillis(m_now - record.at),
                                            record.is_confirmed, m_builder.CreateVector(suspects)));
@@ -125,8 +126,9 @@
   Offset<wire::WorkT> Encode(const RequestInfo& request) {
     std::vector<Offset<flatbuffers::String>> excluded;
     for (const BackendId& id : request.excluded_backends) excluded.push_back(Encode(id));
-    std::vector<std::uint64_t> shared_parts;
-    for (const Fingerprint part : request.shared_parts) shared_parts.push_back(part.Value());
+    std::vector<Offset<wire::FingerprintT>> shared_parts;
+    for (const Fingerprint part : request.shared_parts)
+      shared_parts.push_back(wire::CreateFingerprintT(m_builder, part.Value()));
     return wire::CreateWorkT(
         m_builder, Encode(request.id), Encode(request.service), Encode(request.organisation),
         request.rank, ToMillis(m_now - request.arrived), request.latency_objective.count(),
@@ -260,8 +262,8 @@
         decoded.at = m_now - DecodeMillis(record->age_ms());
         decoded.is_confirmed = record->is_confirmed();
         if (record->suspects() != nullptr)
-          for (const std::uint64_t content : *record->suspects())
-            decoded.suspects.insert(Fingerprint(content));
+          for (const wire::FingerprintT* content : *record->suspects())
+            decoded.suspects.insert(Fingerprint(content->value()));
         message.update.records.push_back(std::move(decoded));
       }
     }
@@ -298,8 +300,8 @@
     request.is_retryable = table->may_repeat();
     request.route = DecodeText(table->route());
     if (table->shared_parts() != nullptr)
-      for (const std::uint64_t part : *table->shared_parts())
-        request.shared_parts.emplace_back(part);
+      for (const wire::FingerprintT* part : *table->shared_parts())
+        request.shared_parts.emplace_back(part->value());
     return request;
   }
   static std::string DecodeText(const flatbuffers::String* text) {
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -15,6 +15,9 @@
 namespace gateway {
 namespace wire {
 
+struct FingerprintT;
+struct FingerprintTBuilder;
+
 struct WorkT;
 struct WorkTBuilder;
 
@@ -190,6 +193,38 @@
                       const flatbuffers::Vector<flatbuffers::Offset<void>> *values,
                       const flatbuffers::Vector<uint8_t> *types);
 
+struct FingerprintT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FingerprintTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_VALUE = 4 };
+  uint64_t value() const { return GetField<uint64_t>(VT_VALUE, 0); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_VALUE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct FingerprintTBuilder {
+  typedef FingerprintT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_value(uint64_t value) { fbb_.AddElement<uint64_t>(FingerprintT::VT_VALUE, value, 0); }
+  explicit FingerprintTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FingerprintT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FingerprintT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FingerprintT> CreateFingerprintT(flatbuffers::FlatBufferBuilder &_fbb,
+                                                            uint64_t value = 0) {
+  FingerprintTBuilder builder_(_fbb);
+  builder_.add_value(value);
+  return builder_.Finish();
+}
+
 struct WorkT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WorkTBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -238,8 +273,10 @@
   const flatbuffers::String *route() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
-  const flatbuffers::Vector<uint64_t> *shared_parts() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SHARED_PARTS);
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>
+      *shared_parts() const {
+    return GetPointer<const flatbuffers::Vector<
+        flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>> *>(VT_SHARED_PARTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
@@ -260,7 +297,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_REPEAT, 1) &&
            VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) && VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) && VerifyOffset(verifier, VT_SHARED_PARTS) &&
-           verifier.VerifyVector(shared_parts()) && verifier.EndTable();
+           verifier.VerifyVector(shared_parts()) && verifier.VerifyVectorOfTables(shared_parts()) &&
+           verifier.EndTable();
   }
 };
 
@@ -314,7 +352,10 @@
   void add_route(flatbuffers::Offset<flatbuffers::String> route) {
     fbb_.AddOffset(WorkT::VT_ROUTE, route);
   }
-  void add_shared_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts) {
+  void add_shared_parts(
+      flatbuffers::Offset<
+          flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
+          shared_parts) {
     fbb_.AddOffset(WorkT::VT_SHARED_PARTS, shared_parts);
   }
   explicit WorkTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
@@ -336,7 +377,9 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     double quota_cost = 0.0, uint64_t fingerprint = 0, bool is_repeat = false,
     bool may_repeat = false, flatbuffers::Offset<flatbuffers::String> route = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0) {
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
+        shared_parts = 0) {
   WorkTBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_quota_cost(quota_cost);
@@ -367,14 +410,19 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     double quota_cost = 0.0, uint64_t fingerprint = 0, bool is_repeat = false,
     bool may_repeat = false, const char *route = nullptr,
-    const std::vector<uint64_t> *shared_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>
+        *shared_parts = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto excluded__ =
       excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
-  auto shared_parts__ = shared_parts ? _fbb.CreateVector<uint64_t>(*shared_parts) : 0;
+  auto shared_parts__ =
+      shared_parts
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>(
+                *shared_parts)
+          : 0;
   return bluebellpass::gateway::wire::CreateWorkT(
       _fbb, id__, service__, organisation__, rank, age_ms, objective_ms, remaining_ms,
       prompt_tokens, output_tokens, max_gap_ms, patience_ms, excluded__, quota_cost, fingerprint,
@@ -1274,8 +1322,10 @@
   uint64_t started_at() const { return GetField<uint64_t>(VT_STARTED_AT, 0); }
   int64_t age_ms() const { return GetField<int64_t>(VT_AGE_MS, 0); }
   bool is_confirmed() const { return GetField<uint8_t>(VT_IS_CONFIRMED, 0) != 0; }
-  const flatbuffers::Vector<uint64_t> *suspects() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTS);
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>
+      *suspects() const {
+    return GetPointer<const flatbuffers::Vector<
+        flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>> *>(VT_SUSPECTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_BACKEND) &&
@@ -1283,7 +1333,7 @@
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_CONFIRMED, 1) &&
            VerifyOffset(verifier, VT_SUSPECTS) && verifier.VerifyVector(suspects()) &&
-           verifier.EndTable();
+           verifier.VerifyVectorOfTables(suspects()) && verifier.EndTable();
   }
 };
 
@@ -1301,7 +1351,10 @@
   void add_is_confirmed(bool is_confirmed) {
     fbb_.AddElement<uint8_t>(CrashT::VT_IS_CONFIRMED, static_cast<uint8_t>(is_confirmed), 0);
   }
-  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects) {
+  void add_suspects(
+      flatbuffers::Offset<
+          flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
+          suspects) {
     fbb_.AddOffset(CrashT::VT_SUSPECTS, suspects);
   }
   explicit CrashTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
@@ -1317,7 +1370,9 @@
 inline flatbuffers::Offset<CrashT> CreateCrashT(
     flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> backend = 0,
     uint64_t started_at = 0, int64_t age_ms = 0, bool is_confirmed = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0) {
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
+        suspects = 0) {
   CrashTBuilder builder_(_fbb);
   builder_.add_age_ms(age_ms);
   builder_.add_started_at(started_at);
@@ -1330,9 +1385,13 @@
 inline flatbuffers::Offset<CrashT> CreateCrashTDirect(
     flatbuffers::FlatBufferBuilder &_fbb, const char *backend = nullptr, uint64_t started_at = 0,
     int64_t age_ms = 0, bool is_confirmed = false,
-    const std::vector<uint64_t> *suspects = nullptr) {
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>> *suspects =
+        nullptr) {
   auto backend__ = backend ? _fbb.CreateString(backend) : 0;
-  auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
+  auto suspects__ =
+      suspects ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>(
+                     *suspects)
+               : 0;
   return bluebellpass::gateway::wire::CreateCrashT(_fbb, backend__, started_at, age_ms,
                                                    is_confirmed, suspects__);
 }
