--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 CMAKE_FLAGS ?=
 BENCH_FLAGS ?=
 
+# Independent of the folder, so that clones share the cache.
+LAUNCHER := "env;CCACHE_BASEDIR=$(CURDIR);CCACHE_NOHASHDIR=1;ccache"
+
 .PHONY: all packages configure run test lint format bench soak slopes clean
 
 all: configure
@@ -11,7 +14,7 @@
 	support/install-packages
 
 configure: packages
-	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache $(CMAKE_FLAGS) > /dev/null
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=$(LAUNCHER) $(CMAKE_FLAGS) > /dev/null
 
 run: all
 	support/demo $(BUILD)
