Run callbacks of completed writes before h2o polls again

Cause: coordinators of the large site ended by themselves, code 134, on h2o's `write_pending: Assertion sock->super._cb.write != NULL failed`. The loop runs timers and posted functions after h2o_evloop_run. A write there that completes at once leaves its callback pending; if the socket's state also changed in that iteration (its previous write had just completed by polling), h2o keeps polling it for writing. The callback runs without the poll having reported, since the socket's buffer is full; when the peer has read, the poll reports a socket without a callback, and h2o aborts.

Ruled out: the hand-made delay on close of links and streams; it only worked around the other half of the same fault, a socket that is freed while its callback is pending.

Change: the loop runs pending callbacks before it polls. Closing needs no delay any more, so links and streams close their sockets directly and own the bytes they send.

Before and after: tcp-stream-test, 300 connections with small buffers: both cases end with SIGABRT and that assertion on the code before, both pass now.

Conclusion: the sequence is the loop's, so every user of the loop is covered, h2o's own server and client included.

--- a/src/kernel/loop.cc
+++ b/src/kernel/loop.cc
@@ -75,6 +75,9 @@
 void EventLoop::RunOnce(Millis max_wait) {
   UpdateNow();
   m_iteration_started = m_now;
+  // h2o polls for writing while the callback of a write is pending and aborts if it has run when
+  // the poll reports, so the callbacks of writes that completed since the last poll must run first.
+  h2o_timeout__do_post_callback(m_native);
   Millis wait = max_wait;
   if (!m_posted.empty()) wait = Millis{0};
   if (!m_timers.empty()) {
--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -98,7 +98,7 @@
   if (socket->data == nullptr) return;
   const auto self = static_cast<TcpStream*>(socket->data)->shared_from_this();
   if (error != nullptr) return self->End(StreamEndReason::kReset);
-  self->m_sending->clear();
+  self->m_sending.clear();
   self->Flush();
   if (!self->IsOpen() || self->PendingBytes() != 0) return;
   if (self->m_is_closing_after_writes) self->Close();
@@ -131,9 +131,9 @@
 }
 
 void TcpStream::Flush() {
-  if (m_socket == nullptr || !m_is_connected || !m_sending->empty() || m_pending.empty()) return;
-  m_sending->swap(m_pending);
-  h2o_iovec_t buffer = h2o_iovec_init(m_sending->data(), m_sending->size());
+  if (m_socket == nullptr || !m_is_connected || !m_sending.empty() || m_pending.empty()) return;
+  m_sending.swap(m_pending);
+  h2o_iovec_t buffer = h2o_iovec_init(m_sending.data(), m_sending.size());
   h2o_socket_write(m_socket, &buffer, 1, &TcpStream::HandleWritten);
 }
 
@@ -159,13 +159,7 @@
   socket->data = nullptr;
   m_read_handler = nullptr;
   m_on_end = nullptr;
-  if (!h2o_socket_is_writing(socket)) return h2o_socket_close(socket);
-  // h2o frees a closed socket before it runs the callback of a write that has just completed, so
-  // the close waits for a full loop iteration: the inner Post runs in the one after the outer Post.
-  h2o_socket_read_stop(socket);
-  m_loop.Post([&loop = m_loop, socket, sending = m_sending] {
-    loop.Post([socket, sending] { h2o_socket_close(socket); });
-  });
+  h2o_socket_close(socket);
 }
 
 void TcpStream::End(StreamEndReason reason) {
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -61,7 +61,7 @@
   /// Queues bytes. They are dropped if the stream is closed.
   void Write(std::string bytes);
   /// @return number of bytes not yet passed to the system
-  std::size_t PendingBytes() const { return m_pending.size() + m_sending->size(); }
+  std::size_t PendingBytes() const { return m_pending.size() + m_sending.size(); }
   /// Closes the connection without calling the end handler. Queued bytes are lost.
   void Close();
   /// Closes the connection after all queued bytes have been sent.
@@ -90,8 +90,7 @@
   bool m_is_paused = false;
   bool m_is_closing_after_writes = false;
   std::string m_pending;
-  /// The bytes that the socket is writing. Shared, since the write can outlast the stream.
-  std::shared_ptr<std::string> m_sending = std::make_shared<std::string>();
+  std::string m_sending;  ///< passed to the socket, which is writing them
   ReadHandler m_read_handler;
   EndHandler m_on_end;
   std::function<void()> m_on_connected;
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -81,13 +81,7 @@
   h2o_socket_t* socket = std::exchange(m_socket, nullptr);
   if (socket == nullptr) return;
   socket->data = nullptr;
-  if (!h2o_socket_is_writing(socket)) return h2o_socket_close(socket);
-  // h2o frees a closed socket before it runs the callback of a write that has just completed, so
-  // the close waits for a full loop iteration: the inner Post runs in the one after the outer Post.
-  h2o_socket_read_stop(socket);
-  m_loop.Post([&loop = m_loop, socket, sending = m_sending] {
-    loop.Post([socket, sending] { h2o_socket_close(socket); });
-  });
+  h2o_socket_close(socket);
 }
 
 bool Link::Connect(const Address& address) {
@@ -234,7 +228,7 @@
   auto result = EncodeFrame(frame);
   if (!IsOk(result)) return false;
   std::string& bytes = std::get<std::string>(result);
-  if (m_pending.size() + m_sending->size() + bytes.size() > kMaxSendBytes) {
+  if (m_pending.size() + m_sending.size() + bytes.size() > kMaxSendBytes) {
     // Closes the link in the next loop iteration, so that OnLinkClosed is not called from inside
     // Send.
     m_is_send_buffer_full = true;
@@ -253,9 +247,9 @@
 }
 
 void Link::Flush() {
-  if (!m_sending->empty() || m_pending.empty()) return;
-  m_sending->swap(m_pending);
-  h2o_iovec_t buffer = h2o_iovec_init(m_sending->data(), m_sending->size());
+  if (!m_sending.empty() || m_pending.empty()) return;
+  m_sending.swap(m_pending);
+  h2o_iovec_t buffer = h2o_iovec_init(m_sending.data(), m_sending.size());
   h2o_socket_write(m_socket, &buffer, 1, &Link::OnWritten);
 }
 
@@ -263,7 +257,7 @@
   if (socket->data == nullptr) return;
   const auto self = static_cast<Link*>(socket->data)->shared_from_this();
   if (error != nullptr) return self->Close(error);
-  self->m_sending->clear();
+  self->m_sending.clear();
   self->Flush();
 }
 
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -81,6 +81,8 @@
   void ResetSilence(TimePoint now) { m_last_frame = now; }
 
   bool IsReady() const { return m_state == State::kReady; }
+  /// @return true once the peer has accepted the connection, also before the handshake is complete
+  bool IsConnected() const { return m_state != State::kConnecting && m_state != State::kClosed; }
   bool IsClosed() const { return m_state == State::kClosed; }
   LinkSide Side() const { return m_side; }
   /// @return the peer as described by its Hello. The id is empty before the Hello arrives, and
@@ -125,8 +127,7 @@
   std::string m_own_hello;
   std::string m_peer_hello;
   std::string m_pending;  ///< not yet passed to the socket
-  /// Used by the socket until the write completes, which may be after the link is destroyed.
-  std::shared_ptr<std::string> m_sending = std::make_shared<std::string>();
+  std::string m_sending;  ///< passed to the socket, which is writing them
   bool m_is_send_buffer_full = false;
   TimePoint m_last_frame;
   std::optional<TimePoint> m_ready_since;
