Read load reports that carry the current duration of work

Cause: Instance-Load may have a fourth figure, and a report without exactly three parts was dropped as a whole, silently. The head of a response was also decoded again for every part of its body.

Change: the report is decoded once into a type that says what it holds. Unknown further parts are ignored; what cannot be read is counted, and logged once for each start of a backend server. `answered` tells the figure, so that its effect on gaps can be measured from logs.

What remains: placement does not use the figure. Whether it helps against the speed that is learned from events is not measured.

--- a/src/gateway/backend-notices.h
+++ b/src/gateway/backend-notices.h
@@ -21,6 +21,15 @@
   bool SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
     return Hold(backend, std::min(retry_after, kMaxBusyHold), now);
   }
+  /// Records a load report that could not be read.
+  /// @return true if it is the first one of this start of the backend server
+  bool SetInvalidLoad(const BackendStart& backend) {
+    const auto found = m_invalid_load.find(backend.id);
+    if (found != m_invalid_load.end() && found->second == backend) return false;
+    if (m_invalid_load.size() >= kMaxInvalidLoads) m_invalid_load.clear();
+    m_invalid_load.insert_or_assign(backend.id, backend);
+    return true;
+  }
   /// @return true if this instance may send requests to the backend server
   bool MaySendTo(const BackendStart& backend, TimePoint now) const {
     const auto found = m_held_until.find(backend);
@@ -40,6 +49,8 @@
   // Leaving servers exit some seconds after they have said so; a new start is another BackendStart.
   static constexpr Millis kLeavingHold{600'000};
   static constexpr Millis kMaxBusyHold{3'600'000};
+  // Bound on the memory for backend servers that have left since.
+  static constexpr std::size_t kMaxInvalidLoads = 4'000;
 
   bool Hold(const BackendStart& backend, Millis duration, TimePoint now) {
     std::erase_if(m_held_until, [&](const auto& entry) {
@@ -51,6 +62,7 @@
   }
 
   std::map<BackendStart, TimePoint> m_held_until;
+  std::map<BackendId, BackendStart> m_invalid_load;  ///< starts whose invalid reports are known
 };
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/call-outcome.cc
+++ b/src/gateway/call-outcome.cc
@@ -22,6 +22,9 @@
             {"sends", std::int64_t{m_send_count}},
             {"ms", duration / Millis{1}},
             {"first_event_ms", m_first_event_at ? (*m_first_event_at - m_sent_at) / Millis{1} : -1},
+            {"slowdown_percent", m_response.load && m_response.load->slowdown
+                                     ? static_cast<std::int64_t>(*m_response.load->slowdown * 100)
+                                     : -1},
             {"gap_us", static_cast<std::int64_t>(m_event_gaps.LowerTercile().count())},
             {"events", static_cast<std::int64_t>(m_run_event_count)},
             {"prompt_tokens", m_request.prompt_tokens.value_or(0)},
--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -250,6 +250,7 @@
   m_state = State::kSent;
   m_sent_at = m_context.loop.Now();
   m_response_head = {};
+  m_response = {};
   m_response_body.clear();
   m_run_event_count = 0;
   m_event_gaps = {};
@@ -279,16 +280,18 @@
 
 bool Call::OnResponseHead(const HttpHead& head) {
   if (m_state != State::kSent) return true;
-  const ResponseFields response = m_context.protocol.DecodeResponse(head);
+  ResponseFields response = m_context.protocol.DecodeResponse(head);
   // On a kept connection, a refusal without an id may be a repetition of an earlier one.
   const bool is_attributed = response.has_id || !response.is_not_run || !m_pooled_call->IsReused();
   if (!is_attributed || (response.has_id && response.id != m_request.id)) return false;
   m_response_head = head;
-  RecordNotices(response);
+  m_response = std::move(response);
+  RecordNotices();
   return true;
 }
 
-void Call::RecordNotices(const ResponseFields& response) {
+void Call::RecordNotices() {
+  const ResponseFields& response = m_response;
   const TimePoint now = m_context.loop.Now();
   if (response.is_leaving && m_context.backend_notices.SetLeaving(m_backend_start, now)) {
     LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
@@ -297,11 +300,16 @@
   if (response.retry_after &&
       m_context.backend_notices.SetBusy(m_backend_start, *response.retry_after, now))
     LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
+  if (!response.has_invalid_load) return;
+  m_context.metrics.IncrementCounter("gateway_invalid_load_reports", "");
+  if (m_context.backend_notices.SetInvalidLoad(m_backend_start))
+    LogEvent(EventId::kObjectRejected,
+             {{"object", m_backend_id.Text()}, {"reason", "its load report cannot be read"}});
 }
 
 void Call::OnResponseBody(std::string_view bytes) {
   if (m_state != State::kSent && m_state != State::kResponding) return;
-  const ResponseFields response = m_context.protocol.DecodeResponse(m_response_head);
+  const ResponseFields& response = m_response;
   const bool is_signed_success =
       IsSuccess(m_response_head.status) && response.has_id && response.has_signature;
   if (is_signed_success && IsStreamSuccess()) return ForwardStream(bytes);
@@ -389,7 +397,7 @@
 }
 
 void Call::OnResponseComplete() {
-  const ResponseFields response = m_context.protocol.DecodeResponse(m_response_head);
+  const ResponseFields& response = m_response;
   const int status = m_response_head.status;
   if (response.is_not_run) return OnNotRun();
   if (!response.has_id || (IsSuccess(status) && !response.has_signature))
@@ -430,7 +438,7 @@
 }
 
 void Call::OnNotRun() {
-  const ResponseFields response = m_context.protocol.DecodeResponse(m_response_head);
+  const ResponseFields& response = m_response;
   ReleaseRun(RunOutcome::kNotRun);
   m_context.dispatcher.AvoidBackend(
       m_backend_id, response.is_wrong_backend ? kWrongBackendAvoidDuration : kAvoidDuration, false);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -71,7 +71,7 @@
   PooledCallHandlers MakePooledCallHandlers();
   bool OnResponseHead(const HttpHead& head);
   /// Records what the backend server says about itself in a response.
-  void RecordNotices(const ResponseFields& response);
+  void RecordNotices();
   void OnResponseBody(std::string_view bytes);
   void OnPooledCallResult(PooledCallResult result);
   void OnResponseComplete();
@@ -130,6 +130,7 @@
   bool m_may_have_run = false;  ///< a backend server may have started to run the request
   HttpHead m_response_head;
   int m_started_status = 0;  ///< of the response to the caller; 0 before it starts
+  ResponseFields m_response;  ///< decoded from the head
   std::string m_response_body;
   EventSplitter m_event_splitter;
   std::optional<TimePoint> m_first_event_at;
--- a/src/gateway/model.h
+++ b/src/gateway/model.h
@@ -153,8 +153,11 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Duration of work at present relative to the usual one; unknown for most backend servers.
+    std::optional<double> slowdown;
   };
   std::optional<Load> load;
+  bool has_invalid_load = false;  ///< a part of the reported load could not be read
   AttemptId id;
 };
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -159,6 +159,51 @@
     BOOST_TEST(!decode(503, {{"Retry-After", value}}).retry_after.has_value(), value);
 }
 
+// Guards against callers that are sent to another data centre because theirs is not read.
+BOOST_AUTO_TEST_CASE(CallerDataCentreIsDecoded) {
+  const auto decode = [](const std::string& target) {
+    HttpHead head;
+    head.method = "GET";
+    head.target = target;
+    return kProtocol.DecodeCallerDataCentre(head).Text();
+  };
+  BOOST_TEST(decode("/api/resolve?name=h&region=r&zone=lx-a") == "lx-a");
+  BOOST_TEST(decode("/api/resolve?zone=lx-a&name=h") == "lx-a");
+  for (const char* target : {"/api/resolve", "/api/resolve?", "/api/resolve?timezone=lx-a",
+                             "/api/resolve?zone=", "/api/resolve?&&zone"})
+    BOOST_TEST(decode(target).empty(), target);
+}
+
+// Guards against load reports whose extension hides them, and against numbers that are no hint.
+BOOST_AUTO_TEST_CASE(LoadReportsAreDecodedLeniently) {
+  const auto decode = [](const std::string& load) {
+    HttpHead head;
+    head.status = 200;
+    head.fields = {{"Request-Id", "r"}, {"Instance-Seal", "s"}, {"Instance-Load", load}};
+    return kProtocol.DecodeResponse(head);
+  };
+  BOOST_TEST(decode("3,1,8").load.value().running == 3);
+  BOOST_TEST(!decode("3,1,8").load.value().slowdown.has_value());
+  BOOST_TEST(!decode("3,1,8").has_invalid_load);
+  BOOST_TEST(decode("3, 1, 8, 250").load.value().slots == 8);
+  BOOST_TEST(decode("3,1,8,250").load.value().slowdown.value() == 2.5);
+  BOOST_TEST(decode("3,1,8,90,x,,7,8,9,10").load.value().slowdown.value() == 0.9);
+  BOOST_TEST(!decode("3,1,8,90,x,,7,8,9,10").has_invalid_load);
+  for (const char* load : {"", "3", "3,1", "busy", "-1,0,8", "3,1,x", "99999999999,0,8", "3,,8"}) {
+    BOOST_TEST(!decode(load).load.has_value(), load);
+    BOOST_TEST(decode(load).has_invalid_load, load);
+  }
+  for (const char* load : {"3,1,8,", "3,1,8,x", "3,1,8,-5", "3,1,8,0", "3,1,8,1e9", "3,1,8,nan",
+                           "3,1,8,99999999999999999999"}) {
+    BOOST_TEST(decode(load).load.value().waiting == 1, load);
+    BOOST_TEST(!decode(load).load.value().slowdown.has_value(), load);
+  }
+  BOOST_TEST(decode("3,1,8,x").has_invalid_load);
+  // The rest of the response does not depend on it.
+  BOOST_TEST(decode("x").has_signature);
+  BOOST_TEST(!decode("x").is_not_run);
+}
+
 // Guards against configuration fields that are decoded to the wrong members.
 BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded) {
   const auto result = kProtocol.DecodeConfig(MakeConfigDocument());
