Make decisions cheap for hundreds of backend servers

Cause: each decision looked up every backend server of a service by its id three times and decayed its failure rate twice, and did so again for each waiting request; the loss of an instance walked over all requests of the fleet.

Ruled out: another order or placement; the grants are the same.

Change: servers of a service are reached by pointer, once for each decision, and only those with free slots are candidates. Requests are indexed by the instance that holds them.

Test: gateway-scheduler-test RemovedHomeLeavesNothingBehind guards the index; the others are unchanged.

--- a/src/gateway/failure-rate.h
+++ b/src/gateway/failure-rate.h
@@ -17,6 +17,7 @@
   }
   /// @return the failure rate, 0 to 1
   double At(TimePoint now) const {
+    if (m_rate == 0) return 0;
     const double age_s = std::chrono::duration<double>(now - m_updated_at).count();
     return age_s <= 0 ? m_rate : m_rate * std::exp2(-age_s / kHalfLifeS);
   }
--- a/src/gateway/scheduler.cc
+++ b/src/gateway/scheduler.cc
@@ -94,7 +94,7 @@
     state.speed.tokens_per_event = std::max(service->engine->tokens_per_event, 1);
     state.kv_cache_tokens = service->engine->kv_cache_tokens;
   }
-  m_backends_by_service[backend.service].insert(backend.id);
+  m_backends_by_service[backend.service][backend.id] = &state;
   if (!is_new) return;
   for (const auto& [id, run] : m_runs) {
     if (run.backend != backend.id) continue;
@@ -122,6 +122,7 @@
 void Scheduler::AddRequest(RequestInfo request) {
   if (m_waiting.contains(request.id) || m_runs.contains(request.id)) return;
   const AttemptId id = request.id;
+  m_requests_by_home[request.home].insert(id);
   WaitingRequest waiting;
   waiting.request = std::move(request);
   Evaluate(waiting);
@@ -133,7 +134,19 @@
   return found == m_waiting.end() ? nullptr : &found->second.request;
 }
 
-bool Scheduler::Withdraw(const AttemptId& id) { return m_waiting.erase(id) != 0; }
+bool Scheduler::Withdraw(const AttemptId& id) {
+  const auto withdrawn = m_waiting.extract(id);
+  if (withdrawn.empty()) return false;
+  Forget(withdrawn.mapped().request);
+  return true;
+}
+
+void Scheduler::Forget(const RequestInfo& request) {
+  const auto home = m_requests_by_home.find(request.home);
+  if (home == m_requests_by_home.end()) return;
+  home->second.erase(request.id);
+  if (home->second.empty()) m_requests_by_home.erase(home);
+}
 
 void Scheduler::EndPrefill(Run& run) {
   if (!std::exchange(run.is_prefilling, false)) return;
@@ -230,6 +243,7 @@
   EndPrefill(found->second);
   const Run run = std::move(found->second);
   m_runs.erase(found);
+  Forget(run.request);
   const auto backend = m_backends.find(run.backend);
   if (backend == m_backends.end()) return;
   TrackedBackend& state = backend->second;
@@ -241,6 +255,7 @@
 void Scheduler::AdoptRun(const RequestInfo& request, const BackendId& backend, bool is_prefilling,
                          TimePoint now) {
   if (m_runs.contains(request.id)) return;
+  m_requests_by_home[request.home].insert(request.id);
   const auto found = m_backends.find(backend);
   if (found != m_backends.end()) {
     StartRun(request, found->second, now);
@@ -255,6 +270,7 @@
   std::vector<RequestInfo> removed;
   std::erase_if(m_waiting, [&](auto& entry) {
     if (!matches(entry.second.request)) return false;
+    Forget(entry.second.request);
     removed.push_back(std::move(entry.second.request));
     return true;
   });
@@ -262,12 +278,13 @@
 }
 
 std::vector<RequestInfo> Scheduler::RemoveHome(const InstanceId& home) {
-  std::vector<RequestInfo> waiting =
-      RemoveWaitingIf([&](const RequestInfo& request) { return request.home == home; });
-  std::vector<AttemptId> runs;
-  for (const auto& [id, run] : m_runs)
-    if (run.request.home == home) runs.push_back(id);
-  for (const AttemptId& id : runs) ReleaseRun(id, {}, {});
+  std::vector<RequestInfo> waiting;
+  const auto requests = m_requests_by_home.extract(home);
+  if (requests.empty()) return waiting;
+  for (const AttemptId& id : requests.mapped()) {
+    ReleaseRun(id, {}, {});
+    if (auto found = m_waiting.extract(id)) waiting.push_back(std::move(found.mapped().request));
+  }
   return waiting;
 }
 
@@ -296,39 +313,52 @@
   return static_cast<int>(slots / m_share_count + (position < slots % m_share_count ? 1 : 0));
 }
 
-Scheduler::Capacity Scheduler::CapacityOf(const ServiceName& service, TimePoint now) const {
+Scheduler::Capacity Scheduler::CapacityOf(const ServiceName& service, TimePoint now,
+                                          Decisions& decisions) {
   Capacity capacity;
   capacity.fastest.decode_ms_per_token = std::numeric_limits<double>::max();
   const auto ids = m_backends_by_service.find(service);
   if (ids == m_backends_by_service.end()) return capacity;
-  std::vector<const TrackedBackend*> available;
-  for (const BackendId& id : ids->second) {
-    const TrackedBackend& state = m_backends.at(id);
-    if (state.backend.is_draining) continue;
+  std::vector<std::pair<TrackedBackend*, double>> rates;
+  rates.reserve(ids->second.size());
+  int available = 0;
+  for (const auto& [id, state] : ids->second) {
+    rates.emplace_back(state, state->failure_rate.At(now));
+    if (state->backend.is_draining) continue;
     capacity.has_backends = true;
-    if (state.avoid_until > now) continue;
-    available.push_back(&state);
-    capacity.mean_failure_rate += state.failure_rate.At(now);
+    if (state->avoid_until > now) continue;
+    ++available;
+    capacity.mean_failure_rate += rates.back().second;
   }
-  if (!available.empty()) capacity.mean_failure_rate /= static_cast<double>(available.size());
-  std::vector<std::pair<int, double>> slots;
-  for (const TrackedBackend* entry : available) {
-    const TrackedBackend& state = *entry;
-    const bool is_trials_only =
-        FailureLimitFor(state.failure_rate.At(now) - capacity.mean_failure_rate) ==
-        FailureLimit::kTrialsOnly;
+  if (available > 0) capacity.mean_failure_rate /= available;
+  capacity.open.reserve(rates.size());
+  double slots_per_ms = 0;
+  for (const auto& [state, rate] : rates) {
+    const double excess = rate - capacity.mean_failure_rate;
+    const FailureLimit limit = FailureLimitFor(excess);
+    if (capacity.has_backends && std::exchange(state->limit, limit) != limit)
+      decisions.limit_changes.push_back(
+          {state->backend.id, limit, rate, capacity.mean_failure_rate});
+    if (state->backend.is_draining || state->avoid_until > now) continue;
+    state->speed.prefill_ratio = m_prefill_ratio;
+    const int granted_slots = GrantableSlots(*state);
+    const double penalty_ms = std::max(excess - kFailureMargin, 0.0) * kFailurePenaltyMs;
+    const OpenBackend open{state, granted_slots, penalty_ms, limit};
+    if (!open.IsFull()) capacity.open.push_back(open);
     // One slot for the next trial.
-    const int count = is_trials_only ? 1 : GrantableSlots(state);
-    capacity.free_slots += std::max(count - state.running, 0);
-    if (is_trials_only) continue;
+    const int count = limit == FailureLimit::kTrialsOnly ? 1 : granted_slots;
+    capacity.free_slots += std::max(count - state->running, 0);
+    if (limit == FailureLimit::kTrialsOnly) continue;
     capacity.slots += count;
-    slots.emplace_back(count, state.speed.decode_ms_per_token);
-    if (state.speed.decode_ms_per_token < capacity.fastest.decode_ms_per_token)
-      capacity.fastest = state.speed;
+    slots_per_ms += count / state->speed.decode_ms_per_token;
+    if (state->speed.decode_ms_per_token < capacity.fastest.decode_ms_per_token)
+      capacity.fastest = state->speed;
+  }
+  if (capacity.slots > 0) {
+    capacity.effective_slots = slots_per_ms * capacity.fastest.decode_ms_per_token;
+  } else {
+    capacity.fastest = SpeedModel{};
   }
-  for (const auto& [count, ms_per_token] : slots)
-    capacity.effective_slots += count * capacity.fastest.decode_ms_per_token / ms_per_token;
-  if (slots.empty()) capacity.fastest = SpeedModel{};
   capacity.fastest.prefill_ratio = m_prefill_ratio;
   return capacity;
 }
@@ -420,11 +450,11 @@
 
 bool Scheduler::Capacity::IsScarce() const { return free_slots < slots * (1 - kScarceUtilisation); }
 
-Scheduler::TrackedBackend* Scheduler::ChooseBackend(const RequestInfo& request,
-                                                    const Capacity& capacity, bool is_late,
-                                                    TimePoint now) {
+const Scheduler::OpenBackend* Scheduler::ChooseBackend(const RequestInfo& request,
+                                                       const Capacity& capacity, bool is_late,
+                                                       TimePoint now) const {
   const bool is_scarce = capacity.IsScarce();
-  TrackedBackend* best = nullptr;
+  const OpenBackend* best = nullptr;
   double best_ms = std::numeric_limits<double>::max();
   const double waited_ms = MillisOf(now - request.arrived) + MillisOf(kDispatchLatency);
   const double first_event_bound_ms = (is_late ? MillisOf(request.patience) * kPatienceFraction
@@ -433,36 +463,27 @@
   const double total_bound_ms = std::max(
       MillisOf(request.deadline - now) * kDeadlineFraction,
       SlotTimeMs(request, capacity.fastest) / kPrefillInterferenceFactor * kNearlyFastestFactor);
-  for (const BackendId& id : m_backends_by_service.at(request.service)) {
-    TrackedBackend& state = m_backends.at(id);
-    if (state.backend.is_draining || request.excluded_backends.contains(id) ||
-        state.avoid_until > now || state.running >= GrantableSlots(state))
-      continue;
-    const double excess = state.failure_rate.At(now) - capacity.mean_failure_rate;
-    if (IsBlockedByLimit(state, request, FailureLimitFor(excess), now)) continue;
-    const double penalty_ms = std::max(excess - kFailureMargin, 0.0) * kFailurePenaltyMs;
-    if (!state.is_engine) {
-      const double load = state.running + penalty_ms;
-      if (load >= best_ms) continue;
-      best = &state;
-      best_ms = load;
-      continue;
+  const std::int64_t needed_tokens = request.prompt_tokens + request.output_tokens;
+  for (const OpenBackend& open : capacity.open) {
+    const TrackedBackend& state = *open.state;
+    if (open.IsFull() || IsBlockedByLimit(state, request, open.limit, now)) continue;
+    double ms = state.running + open.penalty_ms;
+    if (state.is_engine) {
+      if (state.kv_cache_tokens > 0 && state.running > 0 &&
+          state.reserved_tokens + needed_tokens > state.kv_cache_tokens)
+        continue;
+      const double first_event_ms =
+          state.speed.PrefillMs(state.prefill_tokens + request.prompt_tokens);
+      const double total_ms = first_event_ms + state.speed.DecodeMs(request.output_tokens);
+      if (first_event_ms > first_event_bound_ms || total_ms > total_bound_ms) continue;
+      // While slots are scarce, the slowest backend server that can respond on time is chosen.
+      ms = open.penalty_ms +
+           (is_scarce ? total_ms - state.speed.decode_ms_per_token * 1e6 : total_ms);
     }
-    state.speed.prefill_ratio = m_prefill_ratio;
-    const std::int64_t needed_tokens = request.prompt_tokens + request.output_tokens;
-    if (state.kv_cache_tokens > 0 && state.running > 0 &&
-        state.reserved_tokens + needed_tokens > state.kv_cache_tokens)
-      continue;
-    const double first_event_ms =
-        state.speed.PrefillMs(state.prefill_tokens + request.prompt_tokens);
-    const double total_ms = first_event_ms + state.speed.DecodeMs(request.output_tokens);
-    if (first_event_ms > first_event_bound_ms || total_ms > total_bound_ms) continue;
-    if (!KeepsEventGaps(state, request)) continue;
-    // While slots are scarce, the slowest backend server that can respond on time is chosen.
-    const double ms =
-        penalty_ms + (is_scarce ? total_ms - state.speed.decode_ms_per_token * 1e6 : total_ms);
-    if (ms >= best_ms) continue;
-    best = &state;
+    if (ms >= best_ms || (state.is_engine && !KeepsEventGaps(state, request))) continue;
+    // Few requests exclude backend servers, and looking up their ids is expensive.
+    if (request.excluded_backends.contains(state.backend.id)) continue;
+    best = &open;
     best_ms = ms;
   }
   return best;
@@ -481,17 +502,6 @@
   return limit == FailureLimit::kTrialsOnly && (now < state.next_trial || !request.is_retryable);
 }
 
-void Scheduler::ReportLimitChanges(const ServiceName& service, double mean_failure_rate,
-                                   TimePoint now, Decisions& decisions) {
-  for (const BackendId& id : m_backends_by_service.at(service)) {
-    TrackedBackend& state = m_backends.at(id);
-    const double rate = state.failure_rate.At(now);
-    const FailureLimit limit = FailureLimitFor(rate - mean_failure_rate);
-    if (std::exchange(state.limit, limit) != limit)
-      decisions.limit_changes.push_back({id, limit, rate, mean_failure_rate});
-  }
-}
-
 void Scheduler::StartRun(const RequestInfo& request, TrackedBackend& state, TimePoint now) {
   ++state.running;
   state.next_trial = now + kTrialPeriod;
@@ -507,6 +517,7 @@
   waiting.balance->CountResult(waiting.size, NameOf(reason));
   decisions.refusals.push_back({request.id, request.home, reason, retry_after, request.organisation,
                                 request.is_retry ? 0 : request.quota_cost, inputs});
+  Forget(request);
   m_waiting.erase(AttemptId(request.id));
 }
 
@@ -516,14 +527,13 @@
 
 void Scheduler::DecideForService(const ServiceName& service, std::vector<WaitingRequest*> queue,
                                  TimePoint now, AdmissionControl& admission, Decisions& decisions) {
-  Capacity capacity = CapacityOf(service, now);
+  Capacity capacity = CapacityOf(service, now, decisions);
   if (!capacity.has_backends) {
     for (const WaitingRequest* waiting : queue)
       Refuse(*waiting, RefusalReason::kNoBackend, kNoBackendRetryAfter,
              {queue.size(), 0, 0, 0, waiting->size, 1}, decisions);
     return;
   }
-  ReportLimitChanges(service, capacity.mean_failure_rate, now, decisions);
   const std::vector<RankedRequest> ranked = RankQueue(queue, capacity, now);
   double queued_ahead_ms = 0;
   const double time_scale = capacity.fastest.decode_ms_per_token / kInitialDecodeMsPerToken;
@@ -537,10 +547,11 @@
     // exempt, since part of their response may have been delivered before.
     const bool exceeds_deadline = capacity.IsScarce() && !request.is_retry &&
                                   SlotTimeMs(request, capacity.fastest) > remaining_ms;
-    TrackedBackend* state = capacity.free_slots > 0 && !exceeds_deadline
-                                ? ChooseBackend(request, capacity, is_late, now)
-                                : nullptr;
-    if (state != nullptr && admission.TryAdmit(request, now)) {
+    const OpenBackend* open = capacity.free_slots > 0 && !exceeds_deadline
+                                  ? ChooseBackend(request, capacity, is_late, now)
+                                  : nullptr;
+    if (open != nullptr && admission.TryAdmit(request, now)) {
+      TrackedBackend* state = open->state;
       --capacity.free_slots;
       decisions.grants.push_back(
           {request.id,
@@ -548,6 +559,8 @@
            state->backend.id,
            {ranked.size(), capacity.slots, capacity.free_slots, waited_ms, waiting->size, boost}});
       StartRun(request, *state, now);
+      if (open->IsFull())
+        capacity.open.erase(capacity.open.begin() + (open - capacity.open.data()));
       waiting->balance->CountResult(waiting->size, kGranted);
       Run& run = m_runs.at(request.id);
       run.balance = waiting->balance;
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -253,8 +253,18 @@
 
     auto ArrivalOrder() const { return std::tie(request.arrived, request.id); }
   };
+  /// A backend server that may be granted requests in one decision.
+  struct OpenBackend {
+    TrackedBackend* state = nullptr;
+    int slots = 0;           ///< that this scheduler may grant
+    double penalty_ms = 0;   ///< added to expected times for failures above the mean
+    FailureLimit limit = FailureLimit::kNone;
+
+    bool IsFull() const { return state->running >= slots; }
+  };
   /// Capacity of a service's backend servers at one decision.
   struct Capacity {
+    std::vector<OpenBackend> open;  ///< with free slots, by id
     bool has_backends = false;
     int free_slots = 0;
     int slots = 0;
@@ -266,7 +276,8 @@
   };
 
   int GrantableSlots(const TrackedBackend& state) const;
-  Capacity CapacityOf(const ServiceName& service, TimePoint now) const;
+  /// Determines the capacity and reports changes of failure limits.
+  Capacity CapacityOf(const ServiceName& service, TimePoint now, Decisions& decisions);
   double SlotTimeMs(const RequestInfo& request, const SpeedModel& speed) const;
   /// Sets the expected slot time, the size group and the value of a new request.
   void Evaluate(WaitingRequest& waiting);
@@ -287,16 +298,16 @@
   static void BoostUnderserved(std::vector<RankedRequest>& ranked);
   /// @return true when the request's prefill keeps the event gaps of running streams in bounds
   bool KeepsEventGaps(const TrackedBackend& state, const RequestInfo& request) const;
-  TrackedBackend* ChooseBackend(const RequestInfo& request, const Capacity& capacity, bool is_late,
-                                TimePoint now);
+  const OpenBackend* ChooseBackend(const RequestInfo& request, const Capacity& capacity,
+                                   bool is_late, TimePoint now) const;
   void StartRun(const RequestInfo& request, TrackedBackend& state, TimePoint now);
+  /// Removes a request that neither waits nor runs any more from the index by home.
+  void Forget(const RequestInfo& request);
   /// @param excess failure rate above the mean over the backend servers of the service
   static FailureLimit FailureLimitFor(double excess);
   /// @return true when the failure limit keeps the request off the backend server
   static bool IsBlockedByLimit(const TrackedBackend& state, const RequestInfo& request,
                                FailureLimit limit, TimePoint now);
-  void ReportLimitChanges(const ServiceName& service, double mean_failure_rate, TimePoint now,
-                          Decisions& decisions);
   void UpdateFailureRate(const Run& run, const RunReport& report, TimePoint now);
   void DetectStalledRuns(TimePoint now);
   /// Counts the outcome of a run for metrics and for the balance between size groups.
@@ -312,9 +323,11 @@
   std::size_t m_share_index = 0;
   std::size_t m_share_count = 1;
   std::map<BackendId, TrackedBackend> m_backends;
-  std::map<ServiceName, std::set<BackendId>> m_backends_by_service;
+  /// Pointers into m_backends, whose elements do not move.
+  std::map<ServiceName, std::map<BackendId, TrackedBackend*>> m_backends_by_service;
   std::map<AttemptId, WaitingRequest> m_waiting;
   std::map<AttemptId, Run> m_runs;
+  std::map<InstanceId, std::set<AttemptId>> m_requests_by_home;  ///< waiting or running
   std::map<RequestKind, SizeBalance> m_size_balances;
   double m_prefill_ratio = kInitialPrefillRatio;
   TimePoint m_next_stall_check{};
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -374,4 +374,36 @@
   BOOST_TEST(largest["reports"] > 5U);
 }
 
+// Guards against requests of an instance that are left behind when it goes, and against removing
+// those of others.
+BOOST_FIXTURE_TEST_CASE(RemovedHomeLeavesNothingBehind, Fixture) {
+  scheduler.SetBackend(BackendOf("a", "chat", 4), &engine_service);
+  for (const char* home : {"x", "y"}) {
+    for (int i = 0; i < 4; ++i) {
+      RequestInfo request = RequestOf(home + std::to_string(i));
+      request.home = InstanceId(home);
+      scheduler.AddRequest(std::move(request));
+    }
+  }
+  BOOST_TEST(Decide().size() == 4U);
+  RequestInfo adopted = RequestOf("adopted");
+  adopted.home = InstanceId("x");
+  scheduler.AdoptRun(adopted, BackendId("a"), true, kStart);
+  scheduler.Withdraw(AttemptId("y3"));
+  const std::size_t waiting = scheduler.WaitingCount();
+  const std::size_t removed = scheduler.RemoveHome(InstanceId("x")).size();
+  BOOST_TEST(scheduler.WaitingCount() == waiting - removed);
+  BOOST_TEST(scheduler.FindRunning(AttemptId("adopted")) == nullptr);
+  BOOST_TEST(scheduler.RemoveHome(InstanceId("x")).empty());
+  for (int i = 0; i < 4; ++i) {
+    const AttemptId id("x" + std::to_string(i));
+    BOOST_TEST(scheduler.FindWaiting(id) == nullptr);
+    BOOST_TEST(scheduler.FindRunning(id) == nullptr);
+  }
+  scheduler.RemoveHome(InstanceId("y"));
+  BOOST_TEST(scheduler.WaitingCount() == 0U);
+  BOOST_TEST(scheduler.RunningCount() == 0U);
+  BOOST_TEST(scheduler.RunningOn(BackendId("a")) == 0);
+}
+
 }  // namespace bluebellpass::gateway
