Let the largest instances coordinate first

Cause: the instance that registered first coordinates, whatever its size.

Change: the order of the election starts with the instance's processor share from its settings, by powers of two, so that the role does not move between machines of about the same size. The share is in the registration and in the messages about members; those of older builds have none and come last.

What remains: builds before this one elect by registration alone; during a rolling upgrade some instances may follow another coordinator, with its share of slots and quotas.

--- a/src/gateway/fleet-codec.cc
+++ b/src/gateway/fleet-codec.cc
@@ -71,11 +71,12 @@
   Item operator()(const MembersMessage& message) {
     std::vector<Offset<wire::RecordT>> members;
     for (const FleetMember& member : message.members)
-      members.push_back(wire::CreateRecordT(
-          m_builder, Encode(member.id), Encode(member.data_centre),
-          Encode(member.caller_address.ip), member.caller_address.port,
-          Encode(member.peer_address.ip), member.peer_address.port, member.registration_revision,
-          member.is_alive, member.is_leaving, member.is_removed, member.has_lost_store));
+      members.push_back(
+          wire::CreateRecordT(m_builder, Encode(member.id), Encode(member.data_centre),
+                              Encode(member.caller_address.ip), member.caller_address.port,
+                              Encode(member.peer_address.ip), member.peer_address.port,
+                              member.registration_revision, member.is_alive, member.is_leaving,
+                              member.is_removed, member.has_lost_store, member.processor_share));
     return {wire::Item_View, wire::CreateView(m_builder, m_builder.CreateVector(members)).Union()};
   }
   Item operator()(const ProbeMessage& message) {
@@ -228,6 +229,7 @@
       member.is_leaving = record->is_leaving();
       member.is_removed = record->is_gone();
       member.has_lost_store = record->is_detached();
+      member.processor_share = record->processor_share();
       message.members.push_back(std::move(member));
     }
     return message;
--- a/src/gateway/fleet-codec.h
+++ b/src/gateway/fleet-codec.h
@@ -26,11 +26,18 @@
   bool is_leaving = false;
   bool has_lost_store = false;  ///< cannot reach the store while others can
   bool is_removed = false;      ///< was absent for too long
+  double processor_share = 0;   ///< cores that the instance may use; 0 if unknown
 };
 
-/// @return the sort key of the election; the smallest one coordinates
+/// Instances whose processor shares differ by less than a factor of two may be of the same class.
+/// @return the class of an instance's processor share; a larger one is better
+int ProcessorClass(double processor_share);
+
+/// @return the sort key of the election; the smallest one coordinates. Larger instances come first,
+/// since the coordinator's work grows with the fleet.
 inline auto ElectionKey(const FleetMember& member) {
-  return std::tuple(member.has_lost_store, member.registration_revision, member.id);
+  return std::tuple(member.has_lost_store, -ProcessorClass(member.processor_share),
+                    member.registration_revision, member.id);
 }
 
 // Instance to coordinator.
--- a/src/gateway/fleet-members.cc
+++ b/src/gateway/fleet-members.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "bluebellpass/event.h"
 #include "fleet.h"
@@ -10,9 +11,21 @@
 // A member absent for this long is removed; it is not expected back under its registration.
 constexpr Millis kRemoveAbsentAfter{20'000};
 
+// Changes of members are collected for this long, since each goes to every instance.
+constexpr Millis kMembersDelay{100};
+constexpr int kUnknownProcessorClass = -100;
+constexpr double kMinProcessorShare = 0.01;
+constexpr double kMaxProcessorShare = 1'000;
 }  // namespace
 
 FleetMember Fleet::OwnMember() const {
+int ProcessorClass(double processor_share) {
+  // The share may come from another build of the program.
+  if (!(processor_share > 0)) return kUnknownProcessorClass;
+  return static_cast<int>(
+      std::floor(std::log2(std::clamp(processor_share, kMinProcessorShare, kMaxProcessorShare))));
+}
+
   FleetMember member;
   member.id = m_options.id;
   member.data_centre = m_options.data_centre;
@@ -20,6 +33,7 @@
   member.peer_address = m_options.peer_address;
   member.registration_revision = m_registration_revision;
   member.is_alive = true;
+  member.processor_share = m_options.processor_share;
   member.is_leaving = m_is_leaving;
   member.has_lost_store = m_has_lost_store;
   return member;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -33,6 +33,7 @@
   Address peer_address;
 };
 
+  double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 /// Connects this instance to the fleet's coordinator, or to its followers while it is the
 /// coordinator itself. The running instance with the oldest registration coordinates, so a
 /// restarted instance does not take the role back. The coordinator's state is soft: each follower
--- a/src/gateway/fleet_generated.h
+++ b/src/gateway/fleet_generated.h
@@ -506,7 +506,8 @@
     VT_IS_ALIVE = 18,
     VT_IS_LEAVING = 20,
     VT_IS_GONE = 22,
-    VT_IS_DETACHED = 24
+    VT_IS_DETACHED = 24,
+    VT_PROCESSOR_SHARE = 26
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *data_centre() const {
@@ -525,6 +526,7 @@
   bool is_leaving() const { return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0; }
   bool is_gone() const { return GetField<uint8_t>(VT_IS_GONE, 0) != 0; }
   bool is_detached() const { return GetField<uint8_t>(VT_IS_DETACHED, 0) != 0; }
+  double processor_share() const { return GetField<double>(VT_PROCESSOR_SHARE, 0.0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_DATA_CENTRE) &&
@@ -537,7 +539,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_ALIVE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_GONE, 1) &&
-           VerifyField<uint8_t>(verifier, VT_IS_DETACHED, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_IS_DETACHED, 1) &&
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) && verifier.EndTable();
   }
 };
 
@@ -576,6 +579,9 @@
   void add_is_detached(bool is_detached) {
     fbb_.AddElement<uint8_t>(RecordT::VT_IS_DETACHED, static_cast<uint8_t>(is_detached), 0);
   }
+  void add_processor_share(double processor_share) {
+    fbb_.AddElement<double>(RecordT::VT_PROCESSOR_SHARE, processor_share, 0.0);
+  }
   explicit RecordTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -592,8 +598,9 @@
     flatbuffers::Offset<flatbuffers::String> caller_ip = 0, uint16_t caller_port = 0,
     flatbuffers::Offset<flatbuffers::String> peer_ip = 0, uint16_t peer_port = 0,
     uint64_t registered = 0, bool is_alive = false, bool is_leaving = false, bool is_gone = false,
-    bool is_detached = false) {
+    bool is_detached = false, double processor_share = 0.0) {
   RecordTBuilder builder_(_fbb);
+  builder_.add_processor_share(processor_share);
   builder_.add_registered(registered);
   builder_.add_peer_ip(peer_ip);
   builder_.add_caller_ip(caller_ip);
@@ -612,15 +619,15 @@
     flatbuffers::FlatBufferBuilder &_fbb, const char *id = nullptr,
     const char *data_centre = nullptr, const char *caller_ip = nullptr, uint16_t caller_port = 0,
     const char *peer_ip = nullptr, uint16_t peer_port = 0, uint64_t registered = 0,
-    bool is_alive = false, bool is_leaving = false, bool is_gone = false,
-    bool is_detached = false) {
+    bool is_alive = false, bool is_leaving = false, bool is_gone = false, bool is_detached = false,
+    double processor_share = 0.0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto caller_ip__ = caller_ip ? _fbb.CreateString(caller_ip) : 0;
   auto peer_ip__ = peer_ip ? _fbb.CreateString(peer_ip) : 0;
-  return bluebellpass::gateway::wire::CreateRecordT(_fbb, id__, data_centre__, caller_ip__,
-                                                    caller_port, peer_ip__, peer_port, registered,
-                                                    is_alive, is_leaving, is_gone, is_detached);
+  return bluebellpass::gateway::wire::CreateRecordT(
+      _fbb, id__, data_centre__, caller_ip__, caller_port, peer_ip__, peer_port, registered,
+      is_alive, is_leaving, is_gone, is_detached, processor_share);
 }
 
 struct Submit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -121,6 +121,7 @@
   return options;
 }
 
+  options.processor_share = settings.processor_share;
 }  // namespace
 
 Gateway::Gateway(Platform platform, Settings settings)
@@ -365,6 +366,9 @@
   const Result<Address> caller_address = ParseAddress(text_field("caller_address"));
   const Result<Address> peer_address = ParseAddress(text_field("peer_address"));
   if (!IsOk(caller_address) || !IsOk(peer_address)) return;
+  const auto share = object.spec->find("processor_share");
+  if (share != object.spec->end() && share->is_number())
+    member.processor_share = share->get<double>();
   member.caller_address = std::get<Address>(caller_address);
   member.peer_address = std::get<Address>(peer_address);
   m_fleet.AddMember(std::move(member));
@@ -384,7 +388,8 @@
   const nlohmann::json spec = {{"data_centre", m_settings.data_centre.Text()},
                                {"incarnation", m_incarnation.Value()},
                                {"caller_address", m_settings.caller_listen.Text()},
-                               {"peer_address", m_settings.peer_listen.Text()}};
+                               {"peer_address", m_settings.peer_listen.Text()},
+                               {"processor_share", m_settings.processor_share}};
   m_store_client->Put(
       ObjectKind::kInstances, m_settings.instance.Text(), spec, [this](Result<Revision> result) {
         if (m_is_stopping) return;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -23,6 +23,7 @@
   Address store_address;
 
   std::size_t max_descriptors = 1'024;
+  double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 
   Millis max_config_delay{3'000};      ///< from a change of the configuration until it is in force
   Millis max_revocation_delay{5'000};  ///< from revoking a key until no instance accepts it
