Keep the coordinator's role where it is under overload

Cause: in a burst on the large site, instances changed their coordinator 43 times in four seconds. After the loss of a coordinator all instances dial the next one at once. Each waited 150 ms for the handshake, then dialled the one after it, followed that one, and came back when the first answered; each change moves all requests and leaves most quotas unused. Decisions over long queues took the coordinator's time, so that it answered no heartbeat. Each change of each member went to every instance as a message of its own, three times when it started: at 295 instances some 39 MB, which is 15 s of a link of 20 Mbit/s (calculated).

Change: a candidate that has accepted the connection is waited for (1.5 s); one that refuses or does not accept is passed over as before. After a decision the coordinator pauses three times as long as it took, at most 100 ms. Changes of members are collected for 100 ms and sent once. Messages to others are collected by link, without a walk over all followers.

Tests (gateway-election-test): with a patience of 150 ms BusyCandidateIsNotPassedOver fails; with a message for each change ChangedMembersAreAnnouncedOnceAndTogether sees 600 messages instead of 2. LongDecisionsAreFollowedByPauses is new code.

--- a/src/gateway/fleet-members.cc
+++ b/src/gateway/fleet-members.cc
@@ -133,7 +133,18 @@
 }
 
 void Fleet::BroadcastMember(const FleetMember& member) {
-  for (auto& [id, peer] : m_followers) Enqueue(peer, MembersMessage{{member}});
+  m_changed_members.insert_or_assign(member.id, member);
+  if (m_changed_members.size() == 1)
+    m_members_timer.Start(kMembersDelay, [this] { SendChangedMembers(); });
+}
+
+void Fleet::SendChangedMembers() {
+  m_members_timer.Stop();
+  if (m_changed_members.empty()) return;
+  MembersMessage message;
+  for (auto& [id, member] : m_changed_members) message.members.push_back(std::move(member));
+  m_changed_members.clear();
+  for (auto& [id, peer] : m_followers) Enqueue(peer, message);
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -18,9 +18,15 @@
 constexpr Millis kLinkSilenceTimeout{1'000};
 // After a longer gap between ticks this process was suspended, and frames may still be unread.
 constexpr Millis kProcessPauseThreshold{700};
+// A candidate that has not accepted the connection within this time is given up.
 constexpr Millis kDialTimeout{400};
-// The next candidate is dialled as well if the previous one has not answered within this time.
+// The next candidate is dialled as well if the previous one has not accepted the connection within
+// this time.
 constexpr Millis kNextCandidateDelay{150};
+// The same for a candidate that has accepted it but not completed the handshake. It is probably
+// busy, since all instances dial it at once after the loss of its predecessor, and instances that
+// turn to the next candidate would come back.
+constexpr Millis kBusyCandidateDelay{1'500};
 constexpr Millis kDialBackoff{1'500};
 
 }  // namespace
@@ -31,7 +37,9 @@
       m_coordinator(coordinator),
       m_events(std::move(events)),
       m_tick(loop),
+      m_members_timer(loop),
       m_decision_timer(loop),
+      m_pace_timer(loop),
       m_last_tick(loop.Now()) {
   InstanceInfo& self = m_link_context.self;
   self.id = m_options.id;
@@ -77,6 +85,7 @@
   m_is_leaving = true;
   if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
   BroadcastMember(OwnMember());
+  SendChangedMembers();
   FlushOutboxes();
   ElectCoordinator();
 }
@@ -88,6 +97,7 @@
                                     {"state", has_lost_store ? "without store" : "with store"}});
   if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
   BroadcastMember(OwnMember());
+  SendChangedMembers();
   ElectCoordinator();
 }
 
@@ -105,7 +115,8 @@
     if (!dial.link) StartDial(*member, now);
     if (!dial.link) continue;
     // The present coordinator keeps deciding until the candidate answers.
-    if (now - dial.started_at < kNextCandidateDelay) {
+    if (now - dial.started_at <
+        (dial.link->IsConnected() ? kBusyCandidateDelay : kNextCandidateDelay)) {
       if (!m_coordinator_id) return;
       break;
     }
@@ -148,7 +159,7 @@
   } else {
     if (was_coordinator) m_coordinator.RemoveHome(m_options.id);
     Dial& dial = m_dials.at(id);
-    m_coordinator_peer = Peer{std::exchange(dial.link, nullptr), m_loop.Now(), {}};
+    m_coordinator_peer = Peer{std::exchange(dial.link, nullptr), m_loop.Now()};
   }
   UpdateShare();
   m_next_probe = {};
@@ -217,7 +228,9 @@
   for (auto& [id, peer] : m_followers)
     if (now - peer.last_frame_at > kLinkSilenceTimeout) silent.push_back(peer.link);
   for (auto& [id, dial] : m_dials)
-    if (dial.link && now - dial.started_at > kDialTimeout) silent.push_back(dial.link);
+    if (dial.link &&
+        now - dial.started_at > (dial.link->IsConnected() ? kBusyCandidateDelay : kDialTimeout))
+      silent.push_back(dial.link);
   for (const auto& link : silent) link->Close("silent");
 }
 
@@ -358,8 +371,10 @@
   }
 }
 
-void Fleet::Enqueue(Peer& peer, FleetMessage message) {
-  peer.outbox.push_back(std::move(message));
+void Fleet::Enqueue(const Peer& peer, FleetMessage message) {
+  Outbox& outbox = m_outboxes[peer.link.get()];
+  outbox.link = peer.link;
+  outbox.messages.push_back(std::move(message));
   if (m_is_flush_posted) return;
   m_is_flush_posted = true;
   m_loop.Post([this, alive = m_alive] {
@@ -367,20 +382,17 @@
   });
 }
 
-void Fleet::SendCrashes(Peer& peer, const CrashUpdate& update) {
+void Fleet::SendCrashes(const Peer& peer, const CrashUpdate& update) {
   if (!update.IsEmpty()) Enqueue(peer, CrashesMessage{update});
 }
 
 void Fleet::FlushOutboxes() {
   m_is_flush_posted = false;
   const TimePoint now = m_loop.Now();
-  std::vector<std::pair<std::shared_ptr<Link>, std::vector<FleetMessage>>> ready;
-  const auto collect = [&](Peer& peer) {
-    if (!peer.outbox.empty()) ready.emplace_back(peer.link, std::exchange(peer.outbox, {}));
-  };
-  if (m_coordinator_peer) collect(*m_coordinator_peer);
-  for (auto& [id, peer] : m_followers) collect(peer);
-  for (const auto& [link, batch] : ready) link->Send(FleetFrame{EncodeFleetMessages(batch, now)});
+  // A failed send may close its link, which enqueues messages to others.
+  const auto outboxes = std::exchange(m_outboxes, {});
+  for (const auto& [key, outbox] : outboxes)
+    outbox.link->Send(FleetFrame{EncodeFleetMessages(outbox.messages, now)});
 }
 
 void Fleet::SendToCoordinator(FleetMessage message) {
@@ -467,16 +479,18 @@
 }
 
 void Fleet::ScheduleDecision() {
-  if (m_is_decision_posted) return;
-  m_is_decision_posted = true;
+  if (m_is_decision_scheduled) return;
+  m_is_decision_scheduled = true;
+  const Millis wait = m_decision_pace.TimeUntilNext(std::chrono::steady_clock::now());
+  if (wait > Millis{0}) return m_pace_timer.Start(wait, [this] { Decide(); });
   m_loop.Post([this, alive = m_alive] {
-    if (!*alive) return;
-    m_is_decision_posted = false;
-    Decide();
+    if (*alive) Decide();
   });
 }
 
 void Fleet::Decide() {
+  const TimePoint started = std::chrono::steady_clock::now();
+  m_is_decision_scheduled = false;
   const TimePoint now = m_loop.Now();
   Decisions decisions = m_coordinator.Decide(now);
   // The coordinator has reported what a follower learns of crashes.
@@ -499,10 +513,11 @@
   }
   if (const auto next = m_coordinator.NextDecision()) {
     const auto delay = std::chrono::ceil<Millis>(*next - now);
-    m_decision_timer.Start(std::max(delay, Millis{1}), [this] { Decide(); });
+    m_decision_timer.Start(std::max(delay, Millis{1}), [this] { ScheduleDecision(); });
   } else {
     m_decision_timer.Stop();
   }
+  m_decision_pace.RecordDecision(started, std::chrono::steady_clock::now());
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -6,11 +6,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "bluebellpass/timer.h"
 #include "coordinator.h"
 #include "decision-log.h"
+#include "decision-pace.h"
 #include "dispatcher.h"
 #include "fleet-codec.h"
 #include "peer/link.h"
@@ -103,7 +105,11 @@
   struct Peer {
     std::shared_ptr<Link> link;
     TimePoint last_frame_at;
-    std::vector<FleetMessage> outbox;
+  };
+  /// Messages that are sent in the next iteration of the event loop.
+  struct Outbox {
+    std::shared_ptr<Link> link;
+    std::vector<FleetMessage> messages;
   };
   struct Dial {
     std::shared_ptr<Link> link;
@@ -143,6 +149,7 @@
   void BroadcastMember(const FleetMember& member);
 
   void Decide();
+  void SendChangedMembers();
   void DeliverGrant(const AttemptId& id, const BackendId& backend);
   void DeliverRefusal(const AttemptId& id, RefusalReason reason, Millis retry_after);
 
@@ -162,15 +169,19 @@
   std::map<InstanceId, TimePoint> m_absent_since;
   std::map<InstanceId, Dial> m_dials;
   std::map<Link*, std::shared_ptr<Link>> m_pending_links;  ///< handshake in progress
+  std::map<InstanceId, FleetMember> m_changed_members;  ///< not sent to the followers yet
   std::optional<Peer> m_coordinator_peer;  ///< absent while this instance coordinates
   std::map<InstanceId, Peer> m_followers;  ///< linked to this one as coordinator
   std::optional<InstanceId> m_coordinator_id;
   std::map<AttemptId, LocalRequest> m_requests;
   Timer m_tick;
   Timer m_decision_timer;
+  std::unordered_map<Link*, Outbox> m_outboxes;
   TimePoint m_last_tick;
   TimePoint m_next_probe;
-  bool m_is_decision_posted = false;
+  bool m_is_decision_scheduled = false;
+  Timer m_pace_timer;
+  DecisionPace m_decision_pace;
   bool m_is_flush_posted = false;
   /// False after destruction; callbacks check it before they use this object.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/test/gateway-election-test.cc
@@ -0,0 +1,221 @@
+#include <boost/test/unit_test.hpp>
+#include <limits>
+
+#include "fakes.h"
+#include "gateway-fakes.h"
+#include "gateway/decision-pace.h"
+#include "gateway/fleet.h"
+#include "kernel/loop.h"
+#include "raw-server.h"
+
+/// Which instance coordinates, as an instance decides it from what it knows of the others.
+
+namespace bluebellpass::gateway {
+namespace {
+
+const std::vector<std::string> kKeys{"key"};
+
+FleetMember MemberOf(const std::string& id, std::uint64_t revision, double processor_share = 0.25) {
+  FleetMember member;
+  member.id = InstanceId(id);
+  member.registration_revision = revision;
+  member.processor_share = processor_share;
+  return member;
+}
+
+bool IsBefore(const FleetMember& a, const FleetMember& b) {
+  return ElectionKey(a) < ElectionKey(b);
+}
+
+Address FindFreeAddress(EventLoop& loop) {
+  const ListeningSocket listener = OpenListeningSocket(loop, {"127.0.0.1", 0}, 1);
+  h2o_socket_close(listener.socket);
+  return listener.address;
+}
+
+/// An instance of the fleet without callers, backend servers and a store.
+struct TestInstance {
+  TestInstance(EventLoop& loop, const std::string& id, std::uint64_t registered)
+      : address(FindFreeAddress(loop)),
+        revision(registered),
+        fleet(loop, OptionsOf(id), coordinator, {nullptr, [](bool) {}}) {
+    fleet.SetRelay(&relay);
+  }
+  FleetOptions OptionsOf(const std::string& id) const {
+    FleetOptions options;
+    options.id = InstanceId(id);
+    options.incarnation = Incarnation(1);
+    options.caller_address = {"127.0.0.1", 1};
+    options.peer_address = address;
+    options.processor_share = 0.25;
+    return options;
+  }
+  void Start() {
+    fleet.SetRegistration(revision);
+    BOOST_REQUIRE(IsOk(fleet.Start(kKeys)));
+  }
+  void Know(const std::string& id, std::uint64_t registered, const Address& peer) {
+    FleetMember member = MemberOf(id, registered);
+    member.peer_address = peer;
+    fleet.AddMember(member);
+  }
+  std::string CoordinatorName() const {
+    return fleet.CoordinatorId() == nullptr ? "" : fleet.CoordinatorId()->Text();
+  }
+
+  Address address;
+  std::uint64_t revision;
+  ManualClock clock;
+  ManualTimers timers;
+  FakeStoreClient store;
+  ObjectWatch config{store,          timers,
+                     clock,          ObjectKind::kConfig,
+                     WatchOptions{}, {[](const StoredObject&) {}, nullptr, nullptr, nullptr}};
+  ObjectWatch backends{store,          timers,
+                       clock,          ObjectKind::kBackends,
+                       WatchOptions{}, {[](const StoredObject&) {}, nullptr, nullptr, nullptr}};
+  ObjectRelay relay{clock, config, backends};
+  Coordinator coordinator;
+  Fleet fleet;
+};
+
+/// Follows a coordinator and records its messages.
+struct RecordingFollower : LinkHandler {
+  RecordingFollower(EventLoop& event_loop, const Address& coordinator) : loop(event_loop) {
+    context.self.id = InstanceId("recorder");
+    context.self.incarnation = Incarnation(1);
+    context.keys = kKeys;
+    LinkHandler& handler = *this;
+    link = std::make_shared<Link>(loop, context, handler, LinkSide::kInitiator);
+    BOOST_REQUIRE(link->Connect(coordinator));
+  }
+  void OnLinkReady(Link&) override {}
+  void OnLinkClosed(Link&) override {}
+  void OnLinkFrame(Link&, Frame frame) override {
+    const auto* payload = std::get_if<FleetFrame>(&frame.body);
+    if (payload == nullptr) return;
+    auto decoded = DecodeFleetMessages(payload->payload, InstanceId("c"), loop.Now());
+    BOOST_REQUIRE(IsOk(decoded));
+    for (FleetMessage& message : std::get<0>(decoded)) messages.push_back(std::move(message));
+  }
+
+  EventLoop& loop;
+  LinkContext context;
+  std::shared_ptr<Link> link;
+  std::vector<FleetMessage> messages;
+};
+
+struct Fixture {
+  EventLoop loop;
+
+  template <class Condition>
+  bool RunUntil(Condition condition, Millis timeout = Millis{3'000}) {
+    const TimePoint end = std::chrono::steady_clock::now() + timeout;
+    while (!condition() && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
+    return condition();
+  }
+};
+
+}  // namespace
+
+// Guards against a coordinator on a small instance while large ones run, since its work grows with
+// the fleet, and against a role that moves between instances of about the same size.
+BOOST_AUTO_TEST_CASE(LargerInstancesCoordinateFirst) {
+  BOOST_TEST(IsBefore(MemberOf("b", 2, 0.5), MemberOf("a", 1, 0.12)));
+  BOOST_TEST(IsBefore(MemberOf("a", 1, 0.25), MemberOf("b", 2, 0.26)));
+  BOOST_TEST(IsBefore(MemberOf("a", 1, 0.26), MemberOf("b", 2, 0.25)));
+  BOOST_TEST(IsBefore(MemberOf("b", 2, 0.12), MemberOf("a", 1, 0)));
+  FleetMember without_store = MemberOf("a", 1, 4);
+  without_store.has_lost_store = true;
+  BOOST_TEST(IsBefore(MemberOf("b", 2, 0.12), without_store));
+}
+
+// Guards against a share from another build or a damaged entry that makes the order inconsistent.
+BOOST_AUTO_TEST_CASE(InvalidProcessorSharesComeLast) {
+  const double invalid[] = {-1, -0.0, std::numeric_limits<double>::quiet_NaN(),
+                            -std::numeric_limits<double>::infinity()};
+  for (const double share : invalid) BOOST_TEST(ProcessorClass(share) == ProcessorClass(0));
+  BOOST_TEST(ProcessorClass(std::numeric_limits<double>::infinity()) == ProcessorClass(1e9));
+  BOOST_TEST(ProcessorClass(1e-300) > ProcessorClass(0));
+}
+
+// Guards against decisions that take all of a coordinator's time, so that it answers no heartbeat
+// and counts as lost.
+BOOST_AUTO_TEST_CASE(LongDecisionsAreFollowedByPauses) {
+  const TimePoint start{Millis{1'000}};
+  DecisionPace pace;
+  BOOST_TEST((pace.TimeUntilNext(start) <= Millis{0}));
+  pace.RecordDecision(start, start + Millis{10});
+  BOOST_TEST((pace.TimeUntilNext(start + Millis{10}) >= Millis{10}));
+  BOOST_TEST((pace.TimeUntilNext(start + Millis{60}) <= Millis{0}));
+  // Short decisions are not delayed.
+  pace.RecordDecision(start, start + std::chrono::microseconds(100));
+  BOOST_TEST((pace.TimeUntilNext(start + std::chrono::microseconds(100)) <= Millis{0}));
+  // The process was suspended.
+  pace.RecordDecision(start, start + Millis{60'000});
+  BOOST_TEST((pace.TimeUntilNext(start + Millis{60'000}) <= Millis{200}));
+}
+
+// Guards against followers that pass over a coordinator which is busy with the handshakes of all
+// the others: they turn to the next one, come back when it answers, and overload both with their
+// reports.
+BOOST_FIXTURE_TEST_CASE(BusyCandidateIsNotPassedOver, Fixture) {
+  // Accepts connections but does not answer.
+  RawServer busy(loop);
+  TestInstance next(loop, "next", 2);
+  TestInstance follower(loop, "follower", 3);
+  next.Start();
+  follower.Know("busy", 1, busy.address);
+  follower.Know("next", 2, next.address);
+  follower.Start();
+  BOOST_TEST(!RunUntil([&] { return follower.CoordinatorName() == "next"; }, Millis{700}));
+  BOOST_TEST(!busy.streams.empty());
+  // One that never answers must not be waited for.
+  BOOST_TEST(RunUntil([&] { return follower.CoordinatorName() == "next"; }));
+}
+
+// Guards against waiting for a candidate whose process has ended.
+BOOST_FIXTURE_TEST_CASE(CandidateThatRefusesConnectionsIsPassedOver, Fixture) {
+  TestInstance next(loop, "next", 2);
+  TestInstance follower(loop, "follower", 3);
+  next.Start();
+  follower.Know("gone", 1, FindFreeAddress(loop));
+  follower.Know("next", 2, next.address);
+  follower.Start();
+  BOOST_TEST(RunUntil([&] { return follower.CoordinatorName() == "next"; }, Millis{700}));
+}
+
+// Guards against a message to every instance for each change of each member, which fills the
+// coordinator's link for seconds when a large fleet starts.
+BOOST_FIXTURE_TEST_CASE(ChangedMembersAreAnnouncedOnceAndTogether, Fixture) {
+  constexpr std::uint64_t kMembers = 200;
+  TestInstance coordinator(loop, "c", 1);
+  coordinator.Start();
+  BOOST_REQUIRE(RunUntil([&] { return coordinator.CoordinatorName() == "c"; }));
+  RecordingFollower follower(loop, coordinator.address);
+  BOOST_REQUIRE(RunUntil([&] { return !follower.messages.empty(); }));
+  RunUntil([] { return false; }, Millis{300});
+  follower.messages.clear();
+  for (const std::uint64_t change : {1, 2, 3})
+    for (std::uint64_t i = 0; i < kMembers; ++i)
+      coordinator.Know("m" + std::to_string(i), 1'000 * change + i, {"127.0.0.1", 1});
+  RunUntil([] { return false; }, Millis{400});
+  std::size_t records = 0;
+  std::size_t messages = 0;
+  std::map<InstanceId, std::uint64_t> revisions;
+  for (const FleetMessage& message : follower.messages) {
+    const auto* members = std::get_if<MembersMessage>(&message);
+    if (members == nullptr) continue;
+    ++messages;
+    records += members->members.size();
+    for (const FleetMember& member : members->members)
+      revisions[member.id] = member.registration_revision;
+  }
+  BOOST_TEST(revisions.size() == kMembers);
+  for (std::uint64_t i = 0; i < kMembers; ++i)
+    BOOST_TEST(revisions[InstanceId("m" + std::to_string(i))] == 3'000 + i);
+  BOOST_TEST(records == kMembers);
+  BOOST_TEST(messages <= 2U);
+}
+
+}  // namespace bluebellpass::gateway
