Name instances of the caller's data centre, and all of them

Cause: a directory answered with itself and the first 63 instances in the order of their ids. On sites of more than 64 instances all callers were sent to the same ones, mostly of one data centre and the coordinators among them: at 295 instances, 64 carried the load of all.

Change: while all instances fit, the answer is as before. In larger fleets a caller gets instances of its own data centre, or a sample of all if fewer than 16 run there; directories draw different samples. The coordinator is left out.

Tests: gateway-address-list-test (each instance is named, none of the caller's data centre is missed, the coordinator serves callers only in small fleets), platform-test CallerDataCentreIsDecoded.

--- a/src/gateway/fleet-members.cc
+++ b/src/gateway/fleet-members.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "address-list.h"
 #include "bluebellpass/event.h"
 #include "fleet.h"
 #include "kernel/loop.h"
@@ -10,15 +11,14 @@
 
 // A member absent for this long is removed; it is not expected back under its registration.
 constexpr Millis kRemoveAbsentAfter{20'000};
-
 // Changes of members are collected for this long, since each goes to every instance.
 constexpr Millis kMembersDelay{100};
 constexpr int kUnknownProcessorClass = -100;
 constexpr double kMinProcessorShare = 0.01;
 constexpr double kMaxProcessorShare = 1'000;
+
 }  // namespace
 
-FleetMember Fleet::OwnMember() const {
 int ProcessorClass(double processor_share) {
   // The share may come from another build of the program.
   if (!(processor_share > 0)) return kUnknownProcessorClass;
@@ -26,14 +26,15 @@
       std::floor(std::log2(std::clamp(processor_share, kMinProcessorShare, kMaxProcessorShare))));
 }
 
+FleetMember Fleet::OwnMember() const {
   FleetMember member;
   member.id = m_options.id;
   member.data_centre = m_options.data_centre;
   member.caller_address = m_options.caller_address;
   member.peer_address = m_options.peer_address;
   member.registration_revision = m_registration_revision;
-  member.is_alive = true;
   member.processor_share = m_options.processor_share;
+  member.is_alive = true;
   member.is_leaving = m_is_leaving;
   member.has_lost_store = m_has_lost_store;
   return member;
@@ -51,15 +52,20 @@
   if (m_is_started) ElectCoordinator();
 }
 
-std::vector<Address> Fleet::CallerAddresses() const {
-  std::vector<Address> addresses;
-  if (!m_is_leaving) addresses.push_back(m_options.caller_address);
+std::vector<Address> Fleet::CallerAddresses(const DataCentre& caller,
+                                            std::size_t max_addresses) const {
+  std::vector<CallerEndpoint> endpoints;
+  const auto add = [&](const InstanceId& id, const DataCentre& data_centre,
+                       const Address& address) {
+    endpoints.push_back({id, data_centre, address, m_coordinator_id == id});
+  };
+  if (!m_is_leaving) add(m_options.id, m_options.data_centre, m_options.caller_address);
   // The coordinator reports which instances are alive. Without one, all count as alive.
   const bool knows_liveness = m_coordinator_id.has_value();
   for (const auto& [id, member] : m_members)
     if (!member.is_leaving && (member.is_alive || !knows_liveness))
-      addresses.push_back(member.caller_address);
-  return addresses;
+      add(id, member.data_centre, member.caller_address);
+  return ChooseCallerAddresses(std::move(endpoints), caller, m_options.id, max_addresses);
 }
 
 std::vector<const FleetMember*> Fleet::Candidates() const {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -33,9 +33,9 @@
   Incarnation incarnation;
   Address caller_address;
   Address peer_address;
+  double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 };
 
-  double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 /// Connects this instance to the fleet's coordinator, or to its followers while it is the
 /// coordinator itself. The running instance with the oldest registration coordinates, so a
 /// restarted instance does not take the role back. The coordinator's state is soft: each follower
@@ -69,8 +69,9 @@
   /// Tells the other instances that this one stops, and yields the coordinator's role.
   void Leave();
 
-  /// @return the caller addresses of running instances, this one's first unless it is leaving
-  std::vector<Address> CallerAddresses() const;
+  /// @param caller data centre of the caller; empty if unknown
+  /// @return caller addresses of running instances
+  std::vector<Address> CallerAddresses(const DataCentre& caller, std::size_t max_addresses) const;
   /// @return the coordinator, which may be this instance, or null while there is none
   const InstanceId* CoordinatorId() const {
     return m_coordinator_id ? &*m_coordinator_id : nullptr;
@@ -143,13 +144,14 @@
   void MergeMembers(const MembersMessage& message, bool is_from_coordinator);
   void SendToCoordinator(FleetMessage message);
   void SendToFollower(const InstanceId& follower, FleetMessage message);
-  void Enqueue(Peer& peer, FleetMessage message);
-  void SendCrashes(Peer& peer, const CrashUpdate& update);
+  void Enqueue(const Peer& peer, FleetMessage message);
+  void SendCrashes(const Peer& peer, const CrashUpdate& update);
   void FlushOutboxes();
+  /// Sends a changed member to all followers, after a short time and with others.
   void BroadcastMember(const FleetMember& member);
+  void SendChangedMembers();
 
   void Decide();
-  void SendChangedMembers();
   void DeliverGrant(const AttemptId& id, const BackendId& backend);
   void DeliverRefusal(const AttemptId& id, RefusalReason reason, Millis retry_after);
 
@@ -167,21 +169,22 @@
   bool m_is_started = false;
   std::map<InstanceId, FleetMember> m_members;  ///< without this instance
   std::map<InstanceId, TimePoint> m_absent_since;
+  std::map<InstanceId, FleetMember> m_changed_members;  ///< not sent to the followers yet
   std::map<InstanceId, Dial> m_dials;
   std::map<Link*, std::shared_ptr<Link>> m_pending_links;  ///< handshake in progress
-  std::map<InstanceId, FleetMember> m_changed_members;  ///< not sent to the followers yet
   std::optional<Peer> m_coordinator_peer;  ///< absent while this instance coordinates
   std::map<InstanceId, Peer> m_followers;  ///< linked to this one as coordinator
   std::optional<InstanceId> m_coordinator_id;
   std::map<AttemptId, LocalRequest> m_requests;
+  std::unordered_map<Link*, Outbox> m_outboxes;
   Timer m_tick;
+  Timer m_members_timer;
   Timer m_decision_timer;
-  std::unordered_map<Link*, Outbox> m_outboxes;
+  Timer m_pace_timer;
+  DecisionPace m_decision_pace;
   TimePoint m_last_tick;
   TimePoint m_next_probe;
   bool m_is_decision_scheduled = false;
-  Timer m_pace_timer;
-  DecisionPace m_decision_pace;
   bool m_is_flush_posted = false;
   /// False after destruction; callbacks check it before they use this object.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -427,12 +427,11 @@
 
 bool Gateway::IsReady() const { return !m_is_stopping && m_routing_state.Table() != nullptr; }
 
-AddressList Gateway::MakeAddressList() const {
+AddressList Gateway::MakeAddressList(const DataCentre& caller) const {
   AddressList list;
   list.ttl_s =
       static_cast<int>(std::min(kAddressTtl, m_settings.max_address_ttl) / std::chrono::seconds(1));
-  list.addresses = m_fleet.CallerAddresses();
-  if (list.addresses.size() > kMaxAddresses) list.addresses.resize(kMaxAddresses);
+  list.addresses = m_fleet.CallerAddresses(caller, kMaxAddresses);
   return list;
 }
 
@@ -443,7 +442,8 @@
     case LocalEndpoint::kReadiness:
       return exchange->Send(IsReady() ? kOk : kUnavailable, {}, "");
     case LocalEndpoint::kAddresses: {
-      const AddressList list = MakeAddressList();
+      const AddressList list =
+          MakeAddressList(m_platform.protocol->DecodeCallerDataCentre(exchange->Head()));
       if (list.addresses.empty()) return exchange->Send(kUnavailable, {}, "");
       return exchange->Send(kOk, {{"Content-Type", "application/json"}},
                             m_platform.protocol->EncodeAddresses(list));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,7 +61,7 @@
   void OnRequest(std::shared_ptr<HttpExchange> exchange);
   void OnLocalRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
-  AddressList MakeAddressList() const;
+  AddressList MakeAddressList(const DataCentre& caller) const;
   void UpdateSchedulerBackends();
   void Register();
   void ApplySettings();
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -26,6 +26,8 @@
 
   /// @return the local endpoint that the request is for, or kNone
   virtual LocalEndpoint DecodeLocalEndpoint(const HttpHead& head) const = 0;
+  /// @return the data centre of a caller that asks for addresses; empty if it is not stated
+  virtual DataCentre DecodeCallerDataCentre(const HttpHead& head) const = 0;
   virtual std::string EncodeAddresses(const AddressList& list) const = 0;
 
   /// @return the caller's request, or kBadRequest with the name of the invalid field
