Refuse waiting requests that the exit of a stopping instance could cut off

In a planned stop, requests are refused 2.5 s after SIGTERM, but one that was taken before and still waited was sent whenever a slot became free, also shortly before the process exits, which cut it off. The code for it was there, but nothing called it.

Change: in the second half of the grace, a waiting request that cannot have run is refused as not run if its deadline comes after the exit. Another instance can serve it in full.

Tests: gateway-stop-test StopRefusesWaitingRequestsThatTheExitCouldCutOff.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -538,8 +538,9 @@
   Finish("caller_gone", 0, "");
 }
 
-void Call::RefuseIfWaiting() {
-  if (m_state != State::kWaiting || m_may_have_run) return;
+void Call::RefuseIfWaiting(TimePoint exit_at) {
+  if (m_state != State::kWaiting || m_may_have_run || HasResponseStarted()) return;
+  if (m_deadline <= exit_at) return;
   m_context.dispatcher.Withdraw(m_request.id);
   Refuse(kUnavailable, "stopping", kRetryAfterUnavailable);
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -47,8 +47,9 @@
   Call& operator=(const Call&) = delete;
 
   void Start();
-  /// Refuses the request if it is waiting and cannot have run, because the instance stops.
-  void RefuseIfWaiting();
+  /// Refuses the request if it waits, cannot have run and may take longer than until the exit of
+  /// the process.
+  void RefuseIfWaiting(TimePoint exit_at);
   /// Ends the call in any state, because the process is about to exit.
   void Abort();
 
@@ -129,8 +130,8 @@
   bool m_was_sent = false;      ///< the current run was sent to its backend server
   bool m_may_have_run = false;  ///< a backend server may have started to run the request
   HttpHead m_response_head;
-  int m_started_status = 0;  ///< of the response to the caller; 0 before it starts
   ResponseFields m_response;  ///< decoded from the head
+  int m_started_status = 0;  ///< of the response to the caller; 0 before it starts
   std::string m_response_body;
   EventSplitter m_event_splitter;
   std::optional<TimePoint> m_first_event_at;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,6 +23,9 @@
 // A stopping instance accepts requests for this long, since callers cache its address. Later ones
 // could not be completed before the process exits.
 constexpr Millis kStopAcceptDuration{2'500};
+// After this part of the time until the process exits, waiting requests are refused if the exit
+// could cut them off. Another instance can serve them.
+constexpr double kStopWaitFraction = 0.5;
 // Retry-After of requests that arrive later; another instance can serve them at once.
 constexpr Millis kRetryAfterStopping{50};
 // Reserved for delivering the last responses before the platform kills the process.
@@ -118,10 +121,10 @@
   options.incarnation = incarnation;
   options.caller_address = settings.caller_listen;
   options.peer_address = settings.peer_listen;
+  options.processor_share = settings.processor_share;
   return options;
 }
 
-  options.processor_share = settings.processor_share;
 }  // namespace
 
 Gateway::Gateway(Platform platform, Settings settings)
@@ -363,12 +366,12 @@
   member.id = InstanceId(object.name);
   member.data_centre = DataCentre(text_field("data_centre"));
   member.registration_revision = object.revision.Value();
-  const Result<Address> caller_address = ParseAddress(text_field("caller_address"));
-  const Result<Address> peer_address = ParseAddress(text_field("peer_address"));
-  if (!IsOk(caller_address) || !IsOk(peer_address)) return;
   const auto share = object.spec->find("processor_share");
   if (share != object.spec->end() && share->is_number())
     member.processor_share = share->get<double>();
+  const Result<Address> caller_address = ParseAddress(text_field("caller_address"));
+  const Result<Address> peer_address = ParseAddress(text_field("peer_address"));
+  if (!IsOk(caller_address) || !IsOk(peer_address)) return;
   member.caller_address = std::get<Address>(caller_address);
   member.peer_address = std::get<Address>(peer_address);
   m_fleet.AddMember(std::move(member));
@@ -527,6 +530,9 @@
   m_is_stopping = true;
   m_stop_began_at = m_loop.Now();
   const Millis timeout = m_settings.stop_grace - kStopMargin;
+  m_exit_at = m_stop_began_at + timeout;
+  m_stop_waiting_until =
+      m_stop_began_at + std::chrono::duration_cast<Millis>(timeout * kStopWaitFraction);
   LogEvent(EventId::kStopRequested, {{"timeout_ms", timeout.count()}});
   m_register_task.Stop();
   if (m_is_registered) {
@@ -552,6 +558,10 @@
 void Gateway::StopIfIdle() {
   if (m_loop.Now() - m_stop_began_at < kStopAcceptDuration) return;
   m_caller_server.StopAccepting();
+  if (m_loop.Now() >= m_stop_waiting_until) {
+    const auto calls = m_calls;
+    for (const auto& call : calls) call->RefuseIfWaiting(m_exit_at);
+  }
   if (m_calls.empty()) m_loop.Stop();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,8 @@
   bool m_has_listed_backends = false;
   bool m_is_stopping = false;
   TimePoint m_stop_began_at;
+  TimePoint m_stop_waiting_until;  ///< requests that the exit could cut off wait until then
+  TimePoint m_exit_at;
   StoreTask m_register_task;
   StoreTask m_keys_task;
   StoreTask m_list_task;
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -203,6 +203,106 @@
   }
 }
 
+// Guards against a response that an engine cuts off in its head and that reaches the caller as a
+// success, with an empty or short body.
+BOOST_FIXTURE_TEST_CASE(ResponseCutInItsHeadIsNotASuccess, Fixture) {
+  AddEngines(1);
+  const std::string cuts[] = {"H",
+                              "HTTP/1.1 200 OK",
+                              "HTTP/1.1 200 OK\r\n",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\nContent-Le",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
+                              "Content-Length: 4\r\n\r",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
+                              "Content-Length: 4\r\n\r\ndo",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"};
+  int number = 0;
+  for (const char* path : {"/once/x", "/chat/x"}) {
+    for (const bool is_reused : {false, true}) {
+      for (std::string cut : cuts) {
+        const std::string id = "cut" + std::to_string(++number);
+        if (const auto at = cut.find('@'); at != std::string::npos) cut.replace(at, 1, id);
+        BOOST_TEST_CONTEXT(path << is_reused << cut) {
+          if (is_reused) {
+            const auto first = Send("/once/x", "first" + id);
+            Respond("first" + id, Success("first" + id), *first);
+          }
+          const auto caller = Send(path, id);
+          const auto connection = WaitForReceiver(id);
+          connection->Write(cut);
+          connection->CloseAfterWrites();
+          BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }));
+          BOOST_TEST((caller->status != 200 || caller->result != PooledCallResult::kComplete));
+          RunFor(kAvoidTime);
+        }
+      }
+    }
+  }
+}
+
+// Guards against a request that is run again, or called not run, after its answer was lost.
+BOOST_FIXTURE_TEST_CASE(LostAnswerIsNeitherRepeatedNorDenied, Fixture) {
+  AddEngines(2);
+  const std::string parts[] = {"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"};
+  int number = 0;
+  for (const std::string& part : parts) {
+    BOOST_TEST_CONTEXT(part) {
+      const std::string id = "lost" + std::to_string(++number);
+      const auto caller = Send("/book/x", id);
+      const auto connection = WaitForReceiver(id);
+      connection->Write(part);
+      connection->CloseAfterWrites();
+      BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }));
+      // 429 and 503 would promise that it has not run.
+      BOOST_TEST((caller->status == 502 || caller->status == 0));
+      RunFor(kAvoidTime);
+      BOOST_TEST(FindReceiver(id) == nullptr);
+    }
+  }
+}
+
+// Guards against cutting a slow but sound stream, and against a stalled one that never ends because
+// its engine sends a byte now and then.
+BOOST_FIXTURE_TEST_CASE(SlowStreamIsServedAndTricklingOneEnds, Fixture) {
+  AddEngines(1);
+  const auto head = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\n" + std::string(names::kAttempt) + ": " + id + "\r\n" +
+           names::kSignature + ": s\r\nContent-Type: text/event-stream\r\n\r\n";
+  };
+  const auto slow = Send("/chat/x", "slow");
+  const auto trickling = Send("/chat/x", "trickling");
+  const auto slow_run = WaitForReceiver("slow");
+  const auto trickling_run = WaitForReceiver("trickling");
+  slow_run->Write(head("slow"));
+  trickling_run->Write(head("trickling") + "id: 1\ndata: x\n\n");
+  std::string expected;
+  for (int i = 1; i <= 7; ++i) {
+    const std::string event = "id: " + std::to_string(i) + "\ndata: x\n\n";
+    expected += event;
+    slow_run->Write(event);
+    for (int step = 0; step < 10; ++step) {
+      trickling_run->Write("i");
+      RunFor(Millis{100});
+    }
+    BOOST_TEST(!slow->result.has_value());
+  }
+  slow_run->CloseAfterWrites();
+  BOOST_TEST(RunUntil([&] { return slow->result.has_value(); }));
+  BOOST_TEST((*slow->result == PooledCallResult::kComplete));
+  BOOST_TEST(slow->body == expected);
+  // The route's timeout is 9 s.
+  BOOST_TEST(RunUntil([&] {
+    trickling_run->Write("i");
+    RunFor(Millis{100});
+    return trickling->result.has_value();
+  }));
+  BOOST_TEST((*trickling->result == PooledCallResult::kConnectionBroken));
+  BOOST_TEST(trickling->body == "id: 1\ndata: x\n\n");
+}
+
 // Guards against requests to a backend server that has said in a response that it is leaving.
 BOOST_FIXTURE_TEST_CASE(LeavingServerGetsNoMoreRequests, Fixture) {
   AddEngines(1);
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -184,6 +184,32 @@
   BOOST_TEST(exit_code == 0);
 }
 
+// Guards against a stopping process that sends a request late in its grace period and cuts it off
+// when it exits. A request that still waits by then is refused as not run, unless its deadline comes
+// before the exit.
+BOOST_FIXTURE_TEST_CASE(StopRefusesWaitingRequestsThatTheExitCouldCutOff, Fixture) {
+  WaitUntilServing();
+  // All slots are taken until late in the grace period, and the next run would outlast it.
+  engine.SetResponseDelay(Millis{6'000});
+  std::vector<std::unique_ptr<PendingRequest>> long_requests;
+  const std::size_t runs_before = runs.size();
+  for (int i = 0; i < 4; ++i) long_requests.push_back(Send("long" + std::to_string(i), true));
+  BOOST_REQUIRE(RunUntil([&] { return runs.size() == runs_before + 4; }, Millis{2'000}));
+  process.Signal(SIGTERM);
+  RunUntil([] { return false; }, Millis{400});
+  const auto queued = Send("queued", true);
+  BOOST_TEST(RunUntil([&] { return queued->result.has_value(); }, Millis{8'000}));
+  BOOST_TEST(queued->status == 503);
+  for (const auto& request : long_requests) {
+    BOOST_TEST(RunUntil([&] { return request->result.has_value(); }, Millis{8'000}));
+    BOOST_TEST(request->status == 200);
+  }
+  BOOST_TEST(runs.size() == runs_before + 4);
+  int exit_code = -1;
+  BOOST_TEST(RunUntil([&] { return process.HasExited(&exit_code); }, Millis{8'000}));
+  BOOST_TEST(exit_code == 0);
+}
+
 // Guards against a backend server that sends endless bytes instead of a valid response, which would
 // exhaust the memory and keep the caller waiting until its deadline.
 BOOST_FIXTURE_TEST_CASE(EndlessResponseIsAborted, Fixture) {
--- a/test/http1-test.cc
+++ b/test/http1-test.cc
@@ -94,6 +94,29 @@
   BOOST_TEST((chunked.parser.ParseEnd() == ParseStatus::kFailed));
 }
 
+// Guards against a response whose head is cut off and that is reported as complete, with an empty
+// or short body.
+BOOST_AUTO_TEST_CASE(HeadCutAtAnyByteIsNotComplete) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nInstance-Seal: s\r\nContent-Type: text/plain\r\n"
+      "Content-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\n";
+  for (const bool is_fed_in_bytes : {false, true}) {
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      ParsedMessages cut(HttpParser::Kind::kResponse);
+      const std::string bytes = head.substr(0, size);
+      ParseStatus status = ParseStatus::kNeedMore;
+      if (is_fed_in_bytes) {
+        for (const char byte : bytes) status = cut.parser.Parse({&byte, 1});
+      } else {
+        status = cut.parser.Parse(bytes);
+      }
+      BOOST_TEST((status == ParseStatus::kNeedMore), bytes);
+      BOOST_TEST((cut.parser.ParseEnd() != ParseStatus::kMessageEnd), bytes);
+      BOOST_TEST(cut.heads.empty(), bytes);
+    }
+  }
+}
+
 // Guards against crashes and endless loops on malformed input.
 BOOST_AUTO_TEST_CASE(RandomBytesNeitherCrashNorHang) {
   std::mt19937 random(20261204);
