Continue streams that break off late

Cause: a stream that breaks off is queued again with the time its request arrived, so one that had run for longer than its caller waits for a first event counted as too late and was cut, though another engine was free.

Change: a stream that has started waits from its last event.

Test: gateway-response-test LongStreamIsContinuedByAnotherServer, a stream that breaks off after 3 s. It was written with the change and not run on the code before.

--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -169,7 +169,8 @@
   request.rank = m_organisation != nullptr && m_organisation->rank
                      ? std::min(*m_organisation->rank, m_route->rank)
                      : m_route->rank;
-  request.arrived = m_arrived_at;
+  // The caller of a stream that has started waits for its next event, however long ago it came.
+  request.arrived = HasResponseStarted() ? m_last_event_at : m_arrived_at;
   request.latency_objective = m_route->latency_objective;
   request.deadline = m_deadline;
   request.prompt_tokens = m_request.prompt_tokens.value_or(0);
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -303,6 +303,36 @@
   BOOST_TEST(trickling->body == "id: 1\ndata: x\n\n");
 }
 
+// Guards against cutting a stream that breaks off later than its caller would wait for a first event,
+// though another engine could continue it.
+BOOST_FIXTURE_TEST_CASE(LongStreamIsContinuedByAnotherServer, Fixture) {
+  AddEngines(2);
+  const auto caller = Send("/chat/x", "long");
+  const auto started = WaitForReceiver("long");
+  const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(names::kAttempt) + ": long\r\n" +
+                           names::kSignature + ": s\r\nContent-Type: text/event-stream\r\n\r\n";
+  std::string expected;
+  started->Write(head);
+  for (int i = 1; i <= 6; ++i) {
+    expected += "id: " + std::to_string(i) + "\ndata: x\n\n";
+    started->Write("id: " + std::to_string(i) + "\ndata: x\n\n");
+    RunFor(Millis{500});
+  }
+  BOOST_TEST(caller->body == expected);
+  // In the middle of an event, so that the stream cannot be taken for complete.
+  started->Write("id: 7\nda");
+  started->CloseAfterWrites();
+  BOOST_REQUIRE(RunUntil([&] { return !started->IsOpen(); }));
+  const auto resumed = WaitForReceiver("long");
+  expected += "id: 7\ndata: y\n\n";
+  resumed->Write(head + "id: 7\ndata: y\n\n");
+  RunFor(Millis{50});
+  resumed->CloseAfterWrites();
+  BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }));
+  BOOST_TEST((*caller->result == PooledCallResult::kComplete));
+  BOOST_TEST(caller->body == expected);
+}
+
 // Guards against requests to a backend server that has said in a response that it is leaving.
 BOOST_FIXTURE_TEST_CASE(LeavingServerGetsNoMoreRequests, Fixture) {
   AddEngines(1);
