Ask the store less often while the coordinator's view is a little old

Change: a follower waits for 0.6 of the time that the platform allows for a change (2.4 s there, 1.2 s as before where that is two seconds), retries from 500 ms on, since the coordinator retries faster, and a starting one waits 0.8 s instead of 0.3 for a coordinator before its first watch. What counts as cut off from the store stays at 2.7 s.

Test: gateway-relay-test FollowerResumesWatchByTheTimeItHasForAChange.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -190,7 +190,6 @@
     return 1;
   }
   LogEvent(EventId::kStarted, {{"address", m_settings.caller_listen.Text()}});
-  ApplySettings();
   m_budget_timer.StartPeriodic(kRetryBudgetUpdatePeriod, [this] { UpdateRetryBudgets(); });
   StartWatches();
   Register();
@@ -240,6 +239,7 @@
       *m_store_client, m_loop, m_clock, ObjectKind::kBackends, options, std::move(backend_events));
   m_relay = std::make_unique<ObjectRelay>(m_clock, *m_config_watch, *m_backend_watch);
   m_fleet.SetRelay(m_relay.get());
+  ApplySettings();
   m_config_watch->Start();
   m_backend_watch->Start();
 }
@@ -503,6 +503,8 @@
   m_routing_state.SetBounds(MakeStalenessBounds(m_settings));
   m_coordinator.SetQuotaTolerance(
       {m_settings.quota_window, m_settings.quota_excess_ratio, m_settings.quota_slack});
+  if (m_relay)
+    m_relay->SetReactionBound(std::min(m_settings.max_config_delay, m_settings.max_drain_delay));
   UpdateRetryBudgets();
 }
 
--- a/src/gateway/object-watch.h
+++ b/src/gateway/object-watch.h
@@ -25,7 +25,7 @@
   Millis coalesce_delay{60};
   /// Pause between the first list and the first watch call, whose wait is shorter by the same time.
   /// An instance that finds a coordinator during the pause makes no further call.
-  Millis first_watch_delay{300};
+  Millis first_watch_delay{800};
 };
 
 /// Keeps a view of all objects of a kind: lists them, watches for changes, and lists again when the
@@ -58,6 +58,7 @@
   /// Sets the pause between a change and the next call.
   void SetCoalesceDelay(Millis pause) { m_options.coalesce_delay = pause; }
   /// Sets the largest backoff.
+  void SetInitialBackoff(Millis backoff) { m_options.initial_backoff = backoff; }
   void SetMaxBackoff(Millis pause) { m_options.max_backoff = pause; }
   /// Applies a change that another instance has read from the store.
   void ApplyRelayed(const StoredObject& object);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -11,13 +11,17 @@
 // Longest waits of watch calls; shorter on the coordinator, whose confirmations all others rely on.
 constexpr Millis kCoordinatorMaxWait{700};
 constexpr Millis kFollowerMaxWait{1'500};
-// Largest backoffs while the store does not answer. Followers learn from the coordinator when it
-// answers again, so an outage need not cost frequent calls of each instance.
+// Smallest and largest backoffs while the store does not answer. Followers learn from the
+// coordinator when it answers again, so an outage need not cost frequent calls of each instance.
+constexpr Millis kCoordinatorInitialBackoff{50};
+constexpr Millis kFollowerInitialBackoff{500};
 constexpr Millis kCoordinatorMaxBackoff{500};
 constexpr Millis kFollowerMaxBackoff{2'000};
-// A follower with an older confirmation reads the store itself. Above the coordinator's longest
-// wait, and low enough to read a change within the platform's bound of two seconds.
-constexpr Millis kMaxConfirmationAge{1'200};
+// A follower with a confirmation older than this fraction of the time in which it must react to a
+// change reads the store itself. The rest is for its own call.
+constexpr double kConfirmationAgeFraction = 0.6;
+// An instance whose last answer of the store is older counts as cut off from it.
+constexpr Millis kMaxStoreContactAge{2'700};
 // Most bytes that a configuration change may take on the coordinator's network link, summed over
 // all followers. Grants queue behind it for 0.1 s at 10 Mbit/s. A larger configuration is sent as a
 // patch; if that is too large as well, each instance reads the store.
@@ -32,11 +36,17 @@
 ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends)
     : m_clock(clock), m_config{&config, std::nullopt}, m_backends{&backends, std::nullopt} {}
 
+void ObjectRelay::SetReactionBound(Millis bound) {
+  m_max_confirmation_age = std::chrono::duration_cast<Millis>(bound * kConfirmationAgeFraction);
+}
+
 void ObjectRelay::OnCoordinatorChanged(bool is_remote) {
   m_has_remote_coordinator = is_remote;
   for (Channel* channel : {&m_config, &m_backends}) {
     channel->required_revision.reset();
     channel->watch->SetMaxWait(is_remote ? kFollowerMaxWait : kCoordinatorMaxWait);
+    channel->watch->SetInitialBackoff(is_remote ? kFollowerInitialBackoff
+                                                : kCoordinatorInitialBackoff);
   }
   m_config.watch->SetCoalesceDelay(is_remote ? kFollowerCoalesceDelay : kCoordinatorCoalesceDelay);
   m_config.watch->SetMaxBackoff(is_remote ? kFollowerMaxBackoff : kCoordinatorMaxBackoff);
@@ -50,7 +60,7 @@
 void ObjectRelay::UpdateSuspension() {
   const BootTime now = m_clock.Now();
   for (Channel* channel : {&m_config, &m_backends}) {
-    const bool is_fresh = now - channel->watch->ConfirmedAt() < kMaxConfirmationAge;
+    const bool is_fresh = now - channel->watch->ConfirmedAt() < m_max_confirmation_age;
     channel->watch->SetSuspended(m_has_remote_coordinator && IsCaughtUp(*channel) && is_fresh);
   }
 }
@@ -105,7 +115,7 @@
 
 bool ObjectRelay::HasStoreContact() const {
   return !m_config.watch->IsSuspended() &&
-         m_clock.Now() - m_config.watch->ConfirmedAt() < kMaxConfirmationAge + kFollowerMaxWait;
+         m_clock.Now() - m_config.watch->ConfirmedAt() < kMaxStoreContactAge;
 }
 
 void ObjectRelay::OnConfirm(const ConfirmMessage& confirm) {
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -20,6 +20,8 @@
  public:
   ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends);
 
+  /// Sets the time in which this instance must react to a change in the store.
+  void SetReactionBound(Millis bound);
   /// Resets the state of the link.
   /// @param is_remote true when another instance coordinates, over a new link
   void OnCoordinatorChanged(bool is_remote);
@@ -63,6 +65,7 @@
   Channel m_config;
   Channel m_backends;
   std::map<std::string, StoredObject> m_diff_bases;  ///< latest configurations by name
+  Millis m_max_confirmation_age{1'200};
   bool m_has_remote_coordinator = false;
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -26,6 +26,7 @@
   double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 
   Millis max_config_delay{3'000};      ///< from a change of the configuration until it is in force
+  Millis max_drain_delay{2'000};       ///< from a notice of leaving until no requests are sent
   Millis max_revocation_delay{5'000};  ///< from revoking a key until no instance accepts it
   Millis stop_grace{8'000};            ///< from SIGTERM to SIGKILL
   Millis max_address_ttl{5'000};       ///< longest time for which callers may cache an address list
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -124,6 +124,26 @@
   BOOST_TEST(!follower.config.IsSuspended());
 }
 
+// Guards against calls of all followers whenever the coordinator's view is a second old, though the
+// platform allows more time for a change.
+BOOST_FIXTURE_TEST_CASE(FollowerResumesWatchByTheTimeItHasForAChange, Fixture) {
+  const auto is_suspended_after = [&](Millis bound, Millis age) {
+    follower.relay.SetReactionBound(bound);
+    coordinator.relay.OnCoordinatorChanged(false);
+    coordinator.config_timers.AdvanceToNextTimer();
+    coordinator.AnswerConfig(ObjectPage{{}, false, Revision(10)});
+    follower.relay.OnCoordinatorChanged(true);
+    ProbeCoordinator(Millis{1}, Millis{1});
+    BOOST_TEST(follower.config.IsSuspended());
+    clock.Advance(age);
+    ProbeCoordinator(Millis{1}, Millis{1});
+    follower.relay.UpdateSuspension();
+    return follower.config.IsSuspended();
+  };
+  BOOST_TEST(is_suspended_after(Millis{4'000}, Millis{2'000}));
+  BOOST_TEST(!is_suspended_after(Millis{4'000}, Millis{2'600}));
+}
+
 // Guards against a follower that relies on a coordinator without the store.
 BOOST_FIXTURE_TEST_CASE(FollowerResumesWatchOnOldConfirmations, Fixture) {
   follower.relay.OnCoordinatorChanged(true);
