Test the continuation of late streams with an engine

The test passed on the code before the change, since its service was a plain one, for which placement has no bounds. With an engine service it fails there (no engine gets the rest of the stream) and passes on the change. The other cases of gateway-response-test run with an engine as well now.

--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -47,7 +47,7 @@
         {{"version", 1},
          {"routes", json::array({route("/book/", "mutating", 2), route("/once/", "mutating", 1),
                                  route("/chat/", "stream", 2)})},
-         {"services", json::array({{{"name", "s"}}})}});
+         {"services", json::array({{{"name", "s"}, {"engine", {{"slots", 4}, {"stride", 1}}}}})}});
     const std::string directory = MakeLogFolder("gateway-response");
     std::ofstream(directory + "/g.yaml")
         << "node: g\nip: 127.0.0.1\nlisten:\n  front: " << gateway.Text() << "\nport_range: ["
@@ -303,8 +303,8 @@
   BOOST_TEST(trickling->body == "id: 1\ndata: x\n\n");
 }
 
-// Guards against cutting a stream that breaks off later than its caller would wait for a first event,
-// though another engine could continue it.
+// Guards against cutting a stream that breaks off later than its caller would wait for a first
+// event, though another engine could continue it.
 BOOST_FIXTURE_TEST_CASE(LongStreamIsContinuedByAnotherServer, Fixture) {
   AddEngines(2);
   const auto caller = Send("/chat/x", "long");
