--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -131,7 +131,7 @@
   bool m_may_have_run = false;  ///< a backend server may have started to run the request
   HttpHead m_response_head;
   ResponseFields m_response;  ///< decoded from the head
-  int m_started_status = 0;  ///< of the response to the caller; 0 before it starts
+  int m_started_status = 0;   ///< of the response to the caller; 0 before it starts
   std::string m_response_body;
   EventSplitter m_event_splitter;
   std::optional<TimePoint> m_first_event_at;
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -256,8 +256,8 @@
   /// A backend server that may be granted requests in one decision.
   struct OpenBackend {
     TrackedBackend* state = nullptr;
-    int slots = 0;           ///< that this scheduler may grant
-    double penalty_ms = 0;   ///< added to expected times for failures above the mean
+    int slots = 0;          ///< that this scheduler may grant
+    double penalty_ms = 0;  ///< added to expected times for failures above the mean
     FailureLimit limit = FailureLimit::kNone;
 
     bool IsFull() const { return state->running >= slots; }
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -185,8 +185,8 @@
 }
 
 // Guards against a stopping process that sends a request late in its grace period and cuts it off
-// when it exits. A request that still waits by then is refused as not run, unless its deadline comes
-// before the exit.
+// when it exits. A request that still waits by then is refused as not run, unless its deadline
+// comes before the exit.
 BOOST_FIXTURE_TEST_CASE(StopRefusesWaitingRequestsThatTheExitCouldCutOff, Fixture) {
   WaitUntilServing();
   // All slots are taken until late in the grace period, and the next run would outlast it.
