--- a/src/kernel/http1-server.cc
+++ b/src/kernel/http1-server.cc
@@ -256,7 +256,7 @@
   // Closing excess connections immediately keeps the accept queue moving.
   if (server->m_connections.size() >= server->m_limits.max_connections)
     return h2o_socket_close(socket);
-  auto stream = TcpStream::Accept(server->m_loop, socket, TcpKeepAlive{});
+  auto stream = TcpStream::Accept(socket, TcpKeepAlive{});
   auto connection = std::make_shared<Http1Connection>(*server, std::move(stream));
   server->m_connections.emplace(connection.get(), connection);
   connection->Begin();
--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -38,9 +38,8 @@
   ConfigureSocket(h2o_socket_get_fd(socket), keep_alive);
 }
 
-std::shared_ptr<TcpStream> TcpStream::Accept(EventLoop& loop, h2o_socket_t* socket,
-                                             const TcpKeepAlive& keep_alive) {
-  auto stream = std::make_shared<TcpStream>(loop);
+std::shared_ptr<TcpStream> TcpStream::Accept(h2o_socket_t* socket, const TcpKeepAlive& keep_alive) {
+  auto stream = std::make_shared<TcpStream>();
   stream->m_is_connected = true;
   stream->Attach(socket, keep_alive);
   return stream;
@@ -49,7 +48,7 @@
 std::shared_ptr<TcpStream> TcpStream::Connect(EventLoop& loop, const Address& address,
                                               const TcpKeepAlive& keep_alive,
                                               std::function<void()> on_connected) {
-  auto stream = std::make_shared<TcpStream>(loop);
+  auto stream = std::make_shared<TcpStream>();
   stream->m_on_connected = std::move(on_connected);
   sockaddr_in target{};
   target.sin_family = AF_INET;
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -36,14 +36,13 @@
   using ReadHandler = std::function<void(std::string_view bytes)>;
   using EndHandler = std::function<void(StreamEndReason reason)>;
 
-  explicit TcpStream(EventLoop& loop) : m_loop(loop) {}
+  TcpStream() = default;
   ~TcpStream();
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
   /// Creates a stream that owns an accepted socket.
-  static std::shared_ptr<TcpStream> Accept(EventLoop& loop, st_h2o_socket_t* socket,
-                                           const TcpKeepAlive& keep_alive);
+  static std::shared_ptr<TcpStream> Accept(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive);
   /// Starts to connect. A failure is reported to the end handler as kConnectFailed.
   static std::shared_ptr<TcpStream> Connect(EventLoop& loop, const Address& address,
                                             const TcpKeepAlive& keep_alive,
@@ -84,7 +83,6 @@
   void Flush();
   void End(StreamEndReason reason);
 
-  EventLoop& m_loop;
   st_h2o_socket_t* m_socket = nullptr;
   bool m_is_connected = false;
   bool m_is_paused = false;
--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -14,6 +14,7 @@
 namespace {
 
 const std::vector<std::string> kKeys{"key"};
+constexpr std::uint64_t kMemberCount = 200;
 
 FleetMember MemberOf(const std::string& id, std::uint64_t revision, double processor_share = 0.25) {
   FleetMember member;
@@ -188,7 +189,6 @@
 // Guards against a message to every instance for each change of each member, which fills the
 // coordinator's link for seconds when a large fleet starts.
 BOOST_FIXTURE_TEST_CASE(ChangedMembersAreAnnouncedOnceAndTogether, Fixture) {
-  constexpr std::uint64_t kMembers = 200;
   TestInstance coordinator(loop, "c", 1);
   coordinator.Start();
   BOOST_REQUIRE(RunUntil([&] { return coordinator.CoordinatorName() == "c"; }));
@@ -197,7 +197,7 @@
   RunUntil([] { return false; }, Millis{300});
   follower.messages.clear();
   for (const std::uint64_t change : {1, 2, 3})
-    for (std::uint64_t i = 0; i < kMembers; ++i)
+    for (std::uint64_t i = 0; i < kMemberCount; ++i)
       coordinator.Know("m" + std::to_string(i), 1'000 * change + i, {"127.0.0.1", 1});
   RunUntil([] { return false; }, Millis{400});
   std::size_t records = 0;
@@ -211,10 +211,10 @@
     for (const FleetMember& member : members->members)
       revisions[member.id] = member.registration_revision;
   }
-  BOOST_TEST(revisions.size() == kMembers);
-  for (std::uint64_t i = 0; i < kMembers; ++i)
+  BOOST_TEST(revisions.size() == kMemberCount);
+  for (std::uint64_t i = 0; i < kMemberCount; ++i)
     BOOST_TEST(revisions[InstanceId("m" + std::to_string(i))] == 3'000 + i);
-  BOOST_TEST(records == kMembers);
+  BOOST_TEST(records == kMemberCount);
   BOOST_TEST(messages <= 2U);
 }
 
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -207,18 +207,16 @@
 // success, with an empty or short body.
 BOOST_FIXTURE_TEST_CASE(ResponseCutInItsHeadIsNotASuccess, Fixture) {
   AddEngines(1);
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n";
   const std::string cuts[] = {"H",
                               "HTTP/1.1 200 OK",
                               "HTTP/1.1 200 OK\r\n",
                               "HTTP/1.1 200 OK\r\nRequest-Id: @",
-                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n",
-                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\nContent-Le",
-                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
-                              "Content-Length: 4\r\n\r",
-                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
-                              "Content-Length: 4\r\n\r\ndo",
-                              "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"};
+                              start,
+                              start + "Content-Le",
+                              start + "Content-Length: 4\r\n\r",
+                              start + "Content-Length: 4\r\n\r\ndo",
+                              start + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"};
   int number = 0;
   for (const char* path : {"/once/x", "/chat/x"}) {
     for (const bool is_reused : {false, true}) {
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -192,6 +192,7 @@
   // All slots are taken until late in the grace period, and the next run would outlast it.
   engine.SetResponseDelay(Millis{6'000});
   std::vector<std::unique_ptr<PendingRequest>> long_requests;
+  long_requests.reserve(4);
   const std::size_t runs_before = runs.size();
   for (int i = 0; i < 4; ++i) long_requests.push_back(Send("long" + std::to_string(i), true));
   BOOST_REQUIRE(RunUntil([&] { return runs.size() == runs_before + 4; }, Millis{2'000}));
--- a/test/raw-server.h
+++ b/test/raw-server.h
@@ -15,7 +15,7 @@
 /// the streams.
 class RawServer {
  public:
-  explicit RawServer(EventLoop& loop) : m_loop(loop) {
+  explicit RawServer(EventLoop& loop) {
     const ListeningSocket listener = OpenListeningSocket(loop, {"127.0.0.1", 0}, 16);
     m_listener = listener.socket;
     address = listener.address;
@@ -38,12 +38,11 @@
     if (socket == nullptr) return;
     const std::size_t index = self->streams.size();
     self->received.emplace_back();
-    self->streams.push_back(TcpStream::Accept(self->m_loop, socket, TcpKeepAlive{}));
+    self->streams.push_back(TcpStream::Accept(socket, TcpKeepAlive{}));
     self->streams.back()->Read(
         [self, index](std::string_view bytes) { self->received[index].append(bytes); });
   }
 
-  EventLoop& m_loop;
   h2o_socket_t* m_listener = nullptr;
 };
 
--- a/test/tcp-stream-test.cc
+++ b/test/tcp-stream-test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kBufferBytes = 8 << 10;
+constexpr std::size_t kMaxReadBytes = 16U << 10U;
 constexpr int kConnectionCount = 300;
 constexpr int kRounds = 400;
 // Longer writes are completed by polling, shorter ones mostly at once.
@@ -34,8 +35,7 @@
     h2o_socket_read_start(listener.socket, [](h2o_socket_t* socket, const char* error) {
       auto* self = static_cast<Fixture*>(socket->data);
       h2o_socket_t* accepted = error == nullptr ? h2o_evloop_socket_accept(socket) : nullptr;
-      if (accepted != nullptr)
-        self->streams.push_back(TcpStream::Accept(self->loop, accepted, TcpKeepAlive{}));
+      if (accepted != nullptr) self->streams.push_back(TcpStream::Accept(accepted, TcpKeepAlive{}));
     });
   }
   ~Fixture() {
@@ -88,7 +88,7 @@
         total += size;
         stream.Write(std::string(size, 'x'));
       });
-      if (random() % 3 == 0) received[i] += ReadAtPeer(i, random() % (2 * kBufferBytes));
+      if (random() % 3 == 0) received[i] += ReadAtPeer(i, random() % kMaxReadBytes);
     }
     loop.RunOnce(Millis{0});
   }
@@ -105,7 +105,7 @@
   std::mt19937 random(20261206);
   for (std::size_t i = 0; i < streams.size(); ++i) {
     streams[i]->Read([](std::string_view) {});
-    streams[i]->Write(std::string(random() % (8 * kBufferBytes), 'x'));
+    streams[i]->Write(std::string(random() % kMaxWriteBytes, 'x'));
     if (random() % 2 == 0) loop.RunOnce(Millis{0});
     if (random() % 2 == 0) ReadAtPeer(i, kBufferBytes);
     if (random() % 3 == 0) close(std::exchange(peers[i], -1));
