Order caller endpoints in place and correct a comment

Cause: the choice of addresses copied the endpoints into a second list and collected the addresses in two loops; the comment of the largest backoff stood above the first one.

Change: the endpoints are sorted and cut in place, with one loop for both cases. No change of behaviour.

--- a/src/gateway/address-list.cc
+++ b/src/gateway/address-list.cc
@@ -23,18 +23,14 @@
     };
     const auto near =
         static_cast<std::size_t>(std::count_if(endpoints.begin(), endpoints.end(), is_near));
-    std::vector<std::tuple<bool, std::uint64_t, Address>> order;
-    order.reserve(endpoints.size());
     const std::uint64_t salt = StableHash(directory.Text());
-    for (CallerEndpoint& endpoint : endpoints)
-      order.emplace_back(!is_near(endpoint), StableHash(endpoint.id.Text(), salt),
-                         std::move(endpoint.address));
-    std::sort(order.begin(), order.end());
-    order.resize(std::min(max_addresses, near >= kMinNearInstances ? near : order.size()));
-    std::vector<Address> addresses;
-    addresses.reserve(order.size());
-    for (auto& entry : order) addresses.push_back(std::move(std::get<Address>(entry)));
-    return addresses;
+    const auto order = [&](const CallerEndpoint& endpoint) {
+      return std::tuple(!is_near(endpoint), StableHash(endpoint.id.Text(), salt));
+    };
+    std::sort(
+        endpoints.begin(), endpoints.end(),
+        [&](const CallerEndpoint& a, const CallerEndpoint& b) { return order(a) < order(b); });
+    endpoints.resize(std::min(max_addresses, near >= kMinNearInstances ? near : endpoints.size()));
   }
   std::vector<Address> addresses;
   addresses.reserve(endpoints.size());
--- a/src/gateway/object-watch.h
+++ b/src/gateway/object-watch.h
@@ -57,8 +57,9 @@
   void SetMaxWait(Millis wait) { m_options.max_wait = wait; }
   /// Sets the pause between a change and the next call.
   void SetCoalesceDelay(Millis pause) { m_options.coalesce_delay = pause; }
+  /// Sets the backoff after a first failure.
+  void SetInitialBackoff(Millis pause) { m_options.initial_backoff = pause; }
   /// Sets the largest backoff.
-  void SetInitialBackoff(Millis backoff) { m_options.initial_backoff = backoff; }
   void SetMaxBackoff(Millis pause) { m_options.max_backoff = pause; }
   /// Applies a change that another instance has read from the store.
   void ApplyRelayed(const StoredObject& object);
