--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -91,21 +91,30 @@
 std::string Engine::Id() const { return m_name + "-" + std::to_string(m_start); }
 
 void Engine::StartServer() {
-  const auto born =
-      std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch());
+  m_born = std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
+               .count();
   ++m_start;
   m_server = std::make_unique<HttpServer>(
       m_ip, m_port,
       [this](const HttpMessage& request, const Socket& socket) { return Handle(request, socket); });
+  Register("ready");
+}
+
+void Engine::Drain() {
+  Register("draining");
+  m_journal.Write("the store has acknowledged that engine " + Id() + " drains");
+}
+
+void Engine::Register(const std::string& state) {
   m_store.Put("servers", Id(),
               {{"service", m_options.service},
                {"addr", m_ip + ":" + std::to_string(m_port)},
                {"zone", "lx-a"},
                {"version", "v1"},
                {"slots", m_options.slots},
-               {"state", "ready"},
+               {"state", state},
                {"cold_left_ms", 0},
-               {"born", born.count()},
+               {"born", m_born},
                {"seq", 1}});
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -75,14 +75,19 @@
   Engine(const Engine&) = delete;
   Engine& operator=(const Engine&) = delete;
 
+  /// Reports that the engine drains. It goes on serving.
+  void Drain();
+
  private:
   void StartServer();
+  void Register(const std::string& state);
   bool Handle(const HttpMessage& request, const Socket& socket);
   /// Ends the server after a crash and starts it again.
   void Supervise();
   std::string Id() const;
 
   Store& m_store;
+  std::int64_t m_born = 0;  ///< Unix milliseconds of the start
   Journal& m_journal;
   std::string m_ip;
   int m_port;
