--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -24,6 +24,10 @@
 
 namespace bluebellpass::gateway {
 
+/// Upper bound on the duration of a call; the caller's deadline or the route's timeout may be
+/// lower.
+inline constexpr Millis kMaxCallDuration{60'000};
+
 /// Dependencies that all calls of an instance share.
 struct CallContext {
   EventLoop& loop;
--- a/src/gateway/scheduler.h
+++ b/src/gateway/scheduler.h
@@ -38,9 +38,10 @@
   std::set<BackendId> excluded_backends;  ///< backend servers that have failed the request
   double quota_cost = 0;                  ///< units of the organisation's quota
   std::uint64_t fingerprint = 0;          ///< content hash, equal for identical requests
-  std::vector<Fingerprint> shared_parts;  ///< parts of the prompt that other requests may share
-  bool is_retry = false;                  ///< the request was granted before
-  bool is_retryable = false;              ///< it may be sent again after a failed run
+  /// Parts of the prompt, and the content without its query, that other requests may share.
+  std::vector<Fingerprint> shared_parts;
+  bool is_retry = false;      ///< the request was granted before
+  bool is_retryable = false;  ///< it may be sent again after a failed run
 };
 
 enum class RunOutcome : std::uint8_t {
--- a/test/gateway-crash-fleet-test.cc
+++ b/test/gateway-crash-fleet-test.cc
@@ -21,9 +21,12 @@
 constexpr int kEngines = 8;
 constexpr Millis kExitTime{30};
 constexpr char kCrasher[] = "crash";
+constexpr char kPath[] = "/chat/x";
+constexpr char kCrashingTarget[] = "/chat/x?id=666";
+constexpr int kRepetitions = 8;
 
 /// An engine that answers each request with one event, and stops listening when it begins to run
-/// the crashing request.
+/// a crashing request.
 class CrashingEngine {
  public:
   CrashingEngine(EventLoop& loop, std::string id) : m_loop(loop), m_id(std::move(id)) {
@@ -37,7 +40,7 @@
 
  private:
   void Handle(const std::shared_ptr<HttpExchange>& exchange) {
-    if (exchange->Body() == kCrasher) {
+    if (exchange->Body() == kCrasher || exchange->Head().target == kCrashingTarget) {
       // As in a process that exits slowly, connections are reset before the port is closed.
       exchange->Abort();
       m_loop.RunAfter(kExitTime, [this] { m_server.reset(); });
@@ -124,7 +127,7 @@
   }
 
   /// @return the status of the response, or 0 when the connection ended before it was complete
-  int Send(const Gateway& gateway, const std::string& body) {
+  int Send(const Gateway& gateway, const std::string& body, const std::string& target = kPath) {
     int status = 0;
     std::optional<PooledCallResult> result;
     PooledCallHandlers handlers;
@@ -134,7 +137,7 @@
     };
     handlers.on_end = [&](PooledCallResult end) { result = end; };
     const std::string head =
-        SerializeRequest("POST", "/chat/x",
+        SerializeRequest("POST", target,
                          {{"Host", "crash.test"},
                           {names::kAttempt, "q" + std::to_string(++request_count)},
                           {names::kTokenCounts, "100,5"},
@@ -183,4 +186,18 @@
   BOOST_TEST(CrashCount() == 2U);
 }
 
+// Guards against a request that crashes engines and is never held back, because sound requests for
+// its path with other queries complete.
+BOOST_FIXTURE_TEST_CASE(CrashesOfAQueryAreNotClearedByOtherQueries, Fixture) {
+  const Gateway& gateway = StartGateway();
+  for (int i = 0; i < kRepetitions; ++i) {
+    Send(gateway, "", kCrashingTarget);
+    for (int n = 0; n < 2 * kEngines; ++n)
+      Send(gateway, "", std::string(kPath) + "?id=" + std::to_string(n));
+    RunFor(Millis{300});
+  }
+  BOOST_TEST(CrashCount() == 2U);
+  BOOST_TEST(Send(gateway, "", kPath) == 200);
+}
+
 }  // namespace bluebellpass::test
