Serve local endpoints at their own addresses only

The gateway looked for a local endpoint before it looked for a route, by method and path, also at the callers' address.

ruled out: a choice by host; the endpoints of the platform carry any host.

change: requests at the callers' address are always routed. Readiness and directory stay at the addresses that the settings give them.

conclusion: no success leaves the callers' address that no engine gave.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -409,8 +409,6 @@
 }
 
 void Gateway::OnRequest(std::shared_ptr<HttpExchange> exchange) {
-  if (m_platform.protocol->DecodeLocalEndpoint(exchange->Head()) != LocalEndpoint::kNone)
-    return OnLocalRequest(exchange);
   if (m_is_stopping && m_loop.Now() - m_stop_began_at >= kStopAcceptDuration) {
     const auto request = m_platform.protocol->DecodeRequest(exchange->Head());
     const AttemptId id = IsOk(request) ? std::get<CallerRequest>(request).id : AttemptId();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,7 @@
   void ListInstances(const std::string& after);
   void AddInstance(const StoredObject& object);
   void RemoveInstance(const InstanceId& id, std::uint64_t registration_revision);
+  /// Handles a request at the callers' address, which is never answered by this instance itself.
   void OnRequest(std::shared_ptr<HttpExchange> exchange);
   void OnLocalRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -24,6 +24,8 @@
  public:
   virtual ~Protocol() = default;
 
+  /// @param head of a request to an address for local endpoints; at the callers' address its path
+  /// may belong to a route
   /// @return the local endpoint that the request is for, or kNone
   virtual LocalEndpoint DecodeLocalEndpoint(const HttpHead& head) const = 0;
   /// @return the data centre of a caller that asks for addresses; empty if it is not stated
