Join the fleet only when all its instances are known

An instance that restarted listed the others only after the answer to its registration. When the store lost that answer, it knew no other instance for 5 s, coordinated alone with all slots and quotas, and named only itself in its directory.

ruled out: the coordinator of the others (it is not disrupted, and without the lost answer the quota holds).

change: the gateway joins the fleet when it is registered, has listed the instances after that and has the link keys. Before, it is not ready, its directory answers 503 and requests wait. A registration without an answer is looked up in the list at once, by its incarnation.

conclusion: the knowledge of the fleet is a condition of acting for it.

--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -59,9 +59,12 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  /// Listens for other instances and starts to look for the coordinator.
+  /// Listens for other instances and starts to look for the coordinator. Before, requests wait. To
+  /// be called once this instance is registered and all others have been added: an instance that
+  /// knows no other one decides for the whole fleet.
   /// @param keys shared secrets of the instances; the first signs, all are accepted
   Result<Ok> Start(std::vector<std::string> keys);
+  bool IsStarted() const { return m_is_started; }
   /// Sets the store revision of this instance's registration.
   void SetRegistration(std::uint64_t revision);
   /// Adds an instance that is registered in the store.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,16 +1,12 @@
 #include "gateway.h"
 
-#include <openssl/rand.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cstdlib>
 #include <iostream>
-#include <nlohmann/json.hpp>
 
 #include "bluebellpass/event.h"
-#include "config/address.h"
 
 namespace bluebellpass::gateway {
 namespace {
@@ -31,9 +27,6 @@
 // Reserved for delivering the last responses before the platform kills the process.
 constexpr Millis kStopMargin{700};
 constexpr char kEventsPath[] = "/v1/events";
-constexpr char kLinkKeysObject[] = "link-keys";
-constexpr std::size_t kLinkKeyBytes = 32;
-constexpr char kHexDigits[] = "0123456789abcdef";
 // Bounds the age of the last freshness confirmation, which must be far below the maximum revocation
 // delay.
 constexpr Millis kMaxWatchWait{1'500};
@@ -101,18 +94,6 @@
       std::chrono::duration_cast<std::chrono::microseconds>(wall_time).count()));
 }
 
-std::string MakeLinkKey() {
-  std::array<unsigned char, kLinkKeyBytes> bytes{};
-  // A predictable key would not protect the links.
-  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) std::abort();
-  std::string key;
-  for (const unsigned char byte : bytes) {
-    key += kHexDigits[byte >> 4U];
-    key += kHexDigits[byte & 15U];
-  }
-  return key;
-}
-
 FleetOptions MakeFleetOptions(const Settings& settings, Incarnation incarnation) {
   FleetOptions options;
   options.id = settings.instance;
@@ -154,7 +135,7 @@
           [this](const std::shared_ptr<HttpExchange>& exchange) { OnMetricsRequest(exchange); }),
       m_register_task(m_loop, [this] { Register(); }),
       m_keys_task(m_loop, [this] { ReadLinkKeys(ReadConsistency::kAllowStale); }),
-      m_list_task(m_loop, [this] { ListInstances(""); }),
+      m_list_task(m_loop, [this] { ListInstances("", m_is_registered); }),
       m_budget_timer(m_loop),
       m_signal_timer(m_loop),
       m_stop_timer(m_loop),
@@ -317,97 +298,6 @@
   m_coordinator.RequestScheduler().RemoveBackend(id);
 }
 
-void Gateway::ReadLinkKeys(ReadConsistency consistency) {
-  m_store_client->List(
-      ObjectKind::kFleet, "", consistency, [this, consistency](Result<ObjectPage> result) {
-        if (!IsOk(result)) return m_keys_task.RetryLater();
-        for (const StoredObject& object : std::get<ObjectPage>(result).objects) {
-          if (object.name != kLinkKeysObject || !object.spec) continue;
-          std::vector<std::string> keys;
-          for (const auto& key : object.spec->value("keys", nlohmann::json::array()))
-            if (key.is_string()) keys.push_back(key.get<std::string>());
-          if (keys.empty()) continue;
-          const Result<Ok> started = m_fleet.Start(std::move(keys));
-          if (!IsOk(started))
-            LogEvent(EventId::kObjectRejected,
-                     {{"object", object.name}, {"reason", ErrorOf(started).message}});
-          return;
-        }
-        // A stale read may miss the keys, but otherwise suffices, because they never change.
-        if (consistency == ReadConsistency::kAllowStale)
-          return ReadLinkKeys(ReadConsistency::kCurrent);
-        // The first instance to create the object sets the key for all. The object is read again in
-        // any case, which resolves conflicts and lost responses.
-        m_store_client->Create(
-            ObjectKind::kFleet, kLinkKeysObject, {{"keys", {MakeLinkKey()}}},
-            [this](const Result<Revision>&) { ReadLinkKeys(ReadConsistency::kCurrent); });
-      });
-}
-
-void Gateway::ListInstances(const std::string& after) {
-  m_store_client->List(ObjectKind::kInstances, after, ReadConsistency::kCurrent,
-                       [this](Result<ObjectPage> result) {
-                         if (!IsOk(result)) return m_list_task.RetryLater();
-                         const ObjectPage& page = std::get<ObjectPage>(result);
-                         for (const StoredObject& object : page.objects) AddInstance(object);
-                         if (page.has_more && !page.objects.empty())
-                           ListInstances(page.objects.back().name);
-                       });
-}
-
-void Gateway::AddInstance(const StoredObject& object) {
-  if (!object.spec || !object.spec->is_object()) return;
-  const auto text_field = [&](const char* name) {
-    const auto found = object.spec->find(name);
-    return found != object.spec->end() && found->is_string() ? found->get<std::string>()
-                                                             : std::string();
-  };
-  FleetMember member;
-  member.id = InstanceId(object.name);
-  member.data_centre = DataCentre(text_field("data_centre"));
-  member.registration_revision = object.revision.Value();
-  const auto share = object.spec->find("processor_share");
-  if (share != object.spec->end() && share->is_number())
-    member.processor_share = share->get<double>();
-  const Result<Address> caller_address = ParseAddress(text_field("caller_address"));
-  const Result<Address> peer_address = ParseAddress(text_field("peer_address"));
-  if (!IsOk(caller_address) || !IsOk(peer_address)) return;
-  member.caller_address = std::get<Address>(caller_address);
-  member.peer_address = std::get<Address>(peer_address);
-  m_fleet.AddMember(std::move(member));
-}
-
-void Gateway::RemoveInstance(const InstanceId& id, std::uint64_t registration_revision) {
-  LogEvent(EventId::kFleetChanged, {{"member", id.Text()}, {"state", "forgotten"}});
-  m_store_client->Delete(
-      ObjectKind::kInstances, id.Text(), Revision(registration_revision),
-      [](const Result<Ok>& result) {
-        if (!IsOk(result))
-          LogEvent(EventId::kObjectRejected, {{"reason", ErrorOf(result).message}});
-      });
-}
-
-void Gateway::Register() {
-  const nlohmann::json spec = {{"data_centre", m_settings.data_centre.Text()},
-                               {"incarnation", m_incarnation.Value()},
-                               {"caller_address", m_settings.caller_listen.Text()},
-                               {"peer_address", m_settings.peer_listen.Text()},
-                               {"processor_share", m_settings.processor_share}};
-  m_store_client->Put(
-      ObjectKind::kInstances, m_settings.instance.Text(), spec, [this](Result<Revision> result) {
-        if (m_is_stopping) return;
-        if (!IsOk(result)) return m_register_task.RetryLater();
-        m_is_registered = true;
-        m_registration_revision = std::get<Revision>(result);
-        m_fleet.SetRegistration(m_registration_revision.Value());
-        // Listed after registering, so that of two instances that start at the same time at
-        // least one sees the other.
-        ListInstances("");
-        LogEvent(EventId::kRegistered,
-                 {{"revision", static_cast<std::int64_t>(m_registration_revision.Value())}});
-      });
-}
-
 void Gateway::OnRequest(std::shared_ptr<HttpExchange> exchange) {
   if (m_is_stopping && m_loop.Now() - m_stop_began_at >= kStopAcceptDuration) {
     const auto request = m_platform.protocol->DecodeRequest(exchange->Head());
@@ -426,10 +316,14 @@
   call->Start();
 }
 
-bool Gateway::IsReady() const { return !m_is_stopping && m_routing_state.Table() != nullptr; }
+bool Gateway::IsReady() const {
+  return !m_is_stopping && m_fleet.IsStarted() && m_routing_state.Table() != nullptr;
+}
 
 AddressList Gateway::MakeAddressList(const DataCentre& caller) const {
   AddressList list;
+  // It would name this instance only, and lead all callers nearby to it.
+  if (!m_fleet.IsStarted()) return list;
   list.ttl_s =
       static_cast<int>(std::min(kAddressTtl, m_settings.max_address_ttl) / std::chrono::seconds(1));
   list.addresses = m_fleet.CallerAddresses(caller, kMaxAddresses);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,7 +55,11 @@
   void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
   void ReadLinkKeys(ReadConsistency consistency);
-  void ListInstances(const std::string& after);
+  /// Reads the registered instances.
+  /// @param after name of the last instance that was read; empty to start
+  /// @param was_registered true if this instance was registered when the list was started. Only
+  /// then of two instances that start at the same time at least one sees the other.
+  void ListInstances(const std::string& after, bool was_registered);
   void AddInstance(const StoredObject& object);
   void RemoveInstance(const InstanceId& id, std::uint64_t registration_revision);
   /// Handles a request at the callers' address, which is never answered by this instance itself.
@@ -65,6 +69,10 @@
   AddressList MakeAddressList(const DataCentre& caller) const;
   void UpdateSchedulerBackends();
   void Register();
+  void OnRegistered(Revision revision);
+  /// Joins the fleet once its link keys and all its instances are known. Without them this instance
+  /// would take itself for the whole fleet.
+  void JoinFleetIfReady();
   void ApplySettings();
   void UpdateRetryBudgets();
   void CheckSignals();
@@ -96,7 +104,9 @@
   Http1Server m_metrics_server;
   std::set<std::shared_ptr<Call>> m_calls;
   Revision m_registration_revision;
+  std::vector<std::string> m_link_keys;
   bool m_is_registered = false;
+  bool m_has_listed_instances = false;
   bool m_has_listed_backends = false;
   bool m_is_stopping = false;
   TimePoint m_stop_began_at;
--- a/test/soak/store-standin.cc
+++ b/test/soak/store-standin.cc
@@ -96,6 +96,11 @@
         {kind, after, m_loop.Now() + Millis(QueryNumber(head.target, "wait_ms")), exchange});
     return;
   }
+  if (m_lost_lists[kind] > 0) {
+    --m_lost_lists[kind];
+    m_unanswered_exchanges.push_back(exchange);
+    return;
+  }
   json items = json::array();
   for (const auto& [id, object] : m_objects[kind]) items.push_back(Encode(id, object));
   Respond(exchange, 200, {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
@@ -126,7 +131,10 @@
     return Respond(exchange, 404, json::object());
   }
   Put(kind, object_name, body["spec"]);
-  if (m_fault == Fault::kLostResponses && m_random() % 100 < kLostResponsePercent) {
+  const bool is_lost_by_kind = m_lost_writes[kind] > 0;
+  if (is_lost_by_kind) --m_lost_writes[kind];
+  if (is_lost_by_kind ||
+      (m_fault == Fault::kLostResponses && m_random() % 100 < kLostResponsePercent)) {
     m_unanswered_exchanges.push_back(exchange);
     return;
   }
--- a/test/soak/store-standin.h
+++ b/test/soak/store-standin.h
@@ -29,6 +29,10 @@
 
   Address Listen() { return std::get<Address>(m_server.Listen({"127.0.0.1", 0})); }
   void SetFault(Fault fault) { m_fault = fault; }
+  /// Executes the next writes of a kind without a response.
+  void LoseWriteResponses(const std::string& kind, int count) { m_lost_writes[kind] = count; }
+  /// Gives the next lists of a kind no response.
+  void LoseListResponses(const std::string& kind, int count) { m_lost_lists[kind] = count; }
   /// Deletes the change history. Watches from older revisions get 410.
   void Compact();
 
@@ -70,6 +74,8 @@
   Http1Server m_server;
   Timer m_watch_timer;
   Fault m_fault = Fault::kNone;
+  std::map<std::string, int> m_lost_writes;  ///< responses to lose, by kind of object
+  std::map<std::string, int> m_lost_lists;
   std::uint64_t m_revision = 1;
   std::uint64_t m_oldest_revision = 1;
   std::uint64_t m_call_count = 0;
