Bound the bytes of responses that a gateway holds

cause: a backend server that sends without end filled the memory of the instance, and the callers of others lost their requests with it. The library reads on while a peer sends faster, long responses were collected again in parts of 4 MB, bodies that can never be forwarded were kept, and nothing bounded the instance or a call to the store.

ruled out: heads without end (they stayed at 64 KB for each call).

change: sockets are read in parts of 64 KB. Bodies that cannot be forwarded are skipped and end the run after 64 KB. Freed blocks go back to the system.

conclusion: bound for a call, for the instance and for the store.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -85,6 +85,7 @@
   kBackendLimited = 615,
   kLoadBySize = 616,
   kBackendCrashed = 617,
+  kMemoryReleased = 618,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/call-outcome.cc
+++ b/src/gateway/call-outcome.cc
@@ -5,10 +5,14 @@
 namespace bluebellpass::gateway {
 
 void Call::Finish(const char* outcome, int status, const char* reason) {
+  // The end of the response may have closed the connection, which ends the call as well.
+  if (m_state == State::kEnded) return;
   m_state = State::kEnded;
   m_timer.Stop();
   m_backpressure_timer.Stop();
   DropPooledCall();
+  m_response_body = std::string();
+  m_held.Release();
   m_exchange->OnClosed(nullptr);
   const auto duration = m_context.loop.Now() - m_arrived_at;
   const std::string route = m_route == nullptr ? "" : m_route->name;
--- a/src/gateway/call.cc
+++ b/src/gateway/call.cc
@@ -26,9 +26,15 @@
 constexpr Millis kRetryAfterUnavailable{300};
 // Above this many unsent response bytes, reading from the backend server is paused.
 constexpr std::size_t kMaxPendingBytes = 256U << 10U;
+// The same while memory for responses is scarce.
+constexpr std::size_t kMaxPendingBytesWhenScarce = 32U << 10U;
 constexpr Millis kBackpressureCheckPeriod{20};
 // Longer non-streaming responses are forwarded in parts.
 constexpr std::size_t kMaxBufferedResponseBytes = 4U << 20U;
+// The same while memory for responses is scarce.
+constexpr std::size_t kMaxBufferedResponseBytesWhenScarce = 64U << 10U;
+// A body that is not forwarded is read up to here, so that the connection can be used again.
+constexpr std::size_t kMaxSkippedBytes = 64U << 10U;
 // A larger error body or event counts as malformed, since a faulty backend server may send without
 // end.
 constexpr std::size_t kMaxIncompleteBytes = 1U << 20U;
@@ -60,7 +66,8 @@
       m_on_end(std::move(on_end)),
       m_arrived_at(context.loop.Now()),
       m_timer(context.loop),
-      m_backpressure_timer(context.loop) {}
+      m_backpressure_timer(context.loop),
+      m_held(&context.response_memory, [this] { OnOverMemoryLimit(); }) {}
 
 void Call::Start() {
   m_exchange->OnClosed([self = shared_from_this()] { self->OnCallerDisconnected(); });
@@ -196,7 +203,8 @@
   m_sent_at = m_context.loop.Now();
   m_response_head = {};
   m_response = {};
-  m_response_body.clear();
+  m_response_body = std::string();
+  m_skipped_bytes = 0;
   m_run_event_count = 0;
   m_event_gaps = {};
   m_first_event_at.reset();
@@ -254,23 +262,64 @@
 
 void Call::OnResponseBody(std::string_view bytes) {
   if (m_state != State::kSent && m_state != State::kResponding) return;
-  const ResponseFields& response = m_response;
-  const bool is_signed_success =
-      IsSuccess(m_response_head.status) && response.has_id && response.has_signature;
-  if (is_signed_success && IsStreamSuccess()) return ForwardStream(bytes);
+  if (!IsBodyNeeded()) return SkipBody(bytes.size());
+  if (IsStreamSuccess()) {
+    ForwardStream(bytes);
+  } else if (HasResponseStarted()) {
+    m_exchange->Write(bytes);
+    ApplyBackpressure();
+  } else {
+    AppendBody(bytes);
+  }
+  CountHeldBytes();
+}
+
+bool Call::IsBodyNeeded() const {
+  const int status = m_response_head.status;
+  if (!m_response.has_id || m_response.is_not_run) return false;
+  if (IsSuccess(status))
+    return m_response.has_signature && (!m_route->is_stream || IsStreamSuccess());
+  return !HasResponseStarted() && !ImpliesNotRun(status);
+}
+
+void Call::SkipBody(std::size_t size) {
+  m_skipped_bytes += size;
+  if (m_skipped_bytes <= kMaxSkippedBytes) return;
+  if (!m_response.is_not_run) return OnPooledCallResult(PooledCallResult::kMalformedResponse);
+  // The head says all there is to know.
+  DropPooledCall();
+  OnNotRun();
+}
+
+void Call::AppendBody(std::string_view bytes) {
   m_response_body.append(bytes);
-  if (!is_signed_success && m_response_body.size() > kMaxIncompleteBytes)
-    return OnPooledCallResult(PooledCallResult::kMalformedResponse);
-  if (!is_signed_success || m_response_body.size() <= kMaxBufferedResponseBytes) return;
-  if (!HasResponseStarted()) {
-    StartResponse();
-    m_state = State::kResponding;
+  if (!IsSuccess(m_response_head.status)) {
+    if (m_response_body.size() > kMaxIncompleteBytes)
+      OnPooledCallResult(PooledCallResult::kMalformedResponse);
+    return;
   }
+  const std::size_t limit = m_context.response_memory.IsScarce()
+                                ? kMaxBufferedResponseBytesWhenScarce
+                                : kMaxBufferedResponseBytes;
+  if (m_response_body.size() <= limit) return;
+  StartResponse();
+  m_state = State::kResponding;
   m_exchange->Write(m_response_body);
-  m_response_body.clear();
+  m_response_body = std::string();
   ApplyBackpressure();
 }
 
+void Call::CountHeldBytes() {
+  if (m_state != State::kSent && m_state != State::kResponding) return m_held.Release();
+  m_held.Set(m_response_body.capacity() + m_event_splitter.BufferedBytes());
+}
+
+void Call::OnOverMemoryLimit() {
+  if (m_state != State::kSent && m_state != State::kResponding) return;
+  DropPooledCall();
+  OnRunFailed("memory_limit");
+}
+
 bool Call::IsStreamSuccess() const {
   const int status = m_response_head.status;
   return m_route->is_stream && IsSuccess(status) &&
@@ -304,10 +353,12 @@
 }
 
 void Call::ApplyBackpressure() {
-  if (m_exchange->PendingBytes() <= kMaxPendingBytes || !m_pooled_call) return;
+  const std::size_t limit =
+      m_context.response_memory.IsScarce() ? kMaxPendingBytesWhenScarce : kMaxPendingBytes;
+  if (m_exchange->PendingBytes() <= limit || !m_pooled_call) return;
   m_pooled_call->SetPaused(true);
-  m_backpressure_timer.StartPeriodic(kBackpressureCheckPeriod, [self = shared_from_this()] {
-    if (self->m_pooled_call && self->m_exchange->PendingBytes() > kMaxPendingBytes / 2) return;
+  m_backpressure_timer.StartPeriodic(kBackpressureCheckPeriod, [self = shared_from_this(), limit] {
+    if (self->m_pooled_call && self->m_exchange->PendingBytes() > limit / 2) return;
     if (self->m_pooled_call) self->m_pooled_call->SetPaused(false);
     self->m_backpressure_timer.Stop();
   });
@@ -358,7 +409,6 @@
     // Either a resumed stream was rejected with an error, or a long response is complete.
     if (m_route->is_stream) return OnRunFailed("resume_refused");
     ReleaseRun(RunOutcome::kCompleted);
-    m_exchange->Write(m_response_body);
     m_exchange->End();
     return Finish("completed", status, "");
   }
@@ -404,6 +454,8 @@
   if (is_lost) ProbeBackend();
   m_excluded_backends.insert(m_backend_id);
   m_event_splitter.DiscardPartial();
+  m_response_body = std::string();
+  m_held.Release();
   LogEvent(EventId::kRunFailed, {{"request", m_request.id.Text()},
                                  {"backend", m_backend_id.Text()},
                                  {"reason", reason},
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -13,6 +13,7 @@
 #include "gap-sample.h"
 #include "kernel/http1-pool.h"
 #include "kernel/http1-server.h"
+#include "kernel/memory-account.h"
 #include "kernel/metrics.h"
 #include "protocol.h"
 #include "quota.h"
@@ -38,6 +39,7 @@
   RetryBudgets& retry_budgets;
   BackendNotices& backend_notices;
   Metrics& metrics;
+  MemoryAccount& response_memory;
 };
 
 /// Proxies one attempt of a caller: resolves its route, queues it for a backend server, sends it
@@ -78,6 +80,11 @@
   /// Records what the backend server says about itself in a response.
   void RecordNotices();
   void OnResponseBody(std::string_view bytes);
+  /// @return true if the body of the current response may reach the caller
+  bool IsBodyNeeded() const;
+  /// Counts a part of a body that is not needed, and ends a run that sends too much of it.
+  void SkipBody(std::size_t size);
+  void AppendBody(std::string_view bytes);
   void OnPooledCallResult(PooledCallResult result);
   void OnResponseComplete();
   /// @return true if the response head may start the caller's stream or continue it
@@ -85,6 +92,10 @@
   void StartResponse();
   void ForwardStream(std::string_view bytes);
   void ApplyBackpressure();
+  /// Counts the bytes of the response that this call holds. May end the run.
+  void CountHeldBytes();
+  /// Ends the run, to release what the instance has no memory for.
+  void OnOverMemoryLimit();
   /// Handles a response which states that the backend server did not run the request.
   void OnNotRun();
   void OnRunFailed(const std::string& reason);
@@ -137,7 +148,9 @@
   ResponseFields m_response;  ///< decoded from the head
   int m_started_status = 0;   ///< of the response to the caller; 0 before it starts
   std::string m_response_body;
+  std::size_t m_skipped_bytes = 0;  ///< of the body of the current response
   EventSplitter m_event_splitter;
+  MemoryAccount::Holder m_held;  ///< the body and an incomplete event
   std::optional<TimePoint> m_first_event_at;
   TimePoint m_last_event_at;
   std::size_t m_run_event_count = 0;
--- a/src/gateway/event-splitter.h
+++ b/src/gateway/event-splitter.h
@@ -20,8 +20,10 @@
   std::size_t EventCount() const { return m_event_count; }
   /// @return buffered bytes of an incomplete event
   std::size_t PartialBytes() const { return m_partial.size(); }
+  /// @return memory of the buffers
+  std::size_t BufferedBytes() const { return m_partial.capacity() + m_complete.capacity(); }
   /// Discards an incomplete event, before another backend server resumes the stream.
-  void DiscardPartial() { m_partial.clear(); }
+  void DiscardPartial() { m_partial = std::string(); }
 
  private:
   void RecordEvent(std::string_view event);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -42,6 +43,10 @@
 constexpr double kRetryBudgetFraction = 0.8;
 constexpr Millis kRetryBudgetUpdatePeriod{1'000};
 
+// Larger blocks of memory go back to the system when they are freed. By default the C library
+// raises this size with the blocks that are used, and keeps what was needed once.
+constexpr int kMinReturnedBlockBytes = 128 << 10;
+
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -69,6 +74,12 @@
   return result;
 }
 
+ConnectionPoolOptions MakePoolOptions(MemoryAccount& response_memory) {
+  ConnectionPoolOptions options;
+  options.account = &response_memory;
+  return options;
+}
+
 StalenessBounds MakeStalenessBounds(const Settings& settings) {
   StalenessBounds bounds;
   bounds.revocation_bound = settings.max_revocation_delay;
@@ -114,16 +125,18 @@
       m_incarnation(MakeIncarnation()),
       m_log_writer(std::make_shared<LogWriter>(STDOUT_FILENO)),
       m_routing_state(m_clock, MakeStalenessBounds(m_settings)),
-      m_store_client(m_platform.make_store_client(m_loop, m_settings)),
+      m_response_memory(m_settings.max_response_memory),
+      m_store_client(m_platform.make_store_client(m_loop, m_settings, m_response_memory)),
       m_fleet(m_loop, MakeFleetOptions(m_settings, m_incarnation), m_coordinator,
               {[this](const InstanceId& id, std::uint64_t registration_revision) {
                  RemoveInstance(id, registration_revision);
                },
                [this](bool is_remote) { m_relay->OnCoordinatorChanged(is_remote); }}),
-      m_pool(m_loop, ConnectionPoolOptions{}),
+      m_pool(m_loop, MakePoolOptions(m_response_memory)),
       m_caller_server(
           m_loop, MakeHttpLimits(m_settings, {}),
-          [this](std::shared_ptr<HttpExchange> exchange) { OnRequest(std::move(exchange)); }),
+          [this](std::shared_ptr<HttpExchange> exchange) { OnRequest(std::move(exchange)); },
+          &m_response_memory),
       m_ready_server(
           m_loop, {},
           [this](const std::shared_ptr<HttpExchange>& exchange) { OnLocalRequest(exchange); }),
@@ -141,6 +154,12 @@
       m_stop_timer(m_loop),
       m_abort_timer(m_loop),
       m_log_timer(m_loop) {
+  m_response_memory.OnEviction([this](std::size_t bytes) {
+    LogEvent(EventId::kMemoryReleased,
+             {{"bytes", static_cast<std::int64_t>(bytes)},
+              {"used", static_cast<std::int64_t>(m_response_memory.Used())},
+              {"limit", static_cast<std::int64_t>(m_response_memory.Limit())}});
+  });
   SetEventSource(m_settings.instance.Text());
   SetLogSink(std::make_shared<LogWriterSink>(m_log_writer, m_loop), kMaxRecordedEvents);
 }
@@ -162,6 +181,7 @@
 }
 
 int Gateway::Run() {
+  mallopt(M_MMAP_THRESHOLD, kMinReturnedBlockBytes);
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGHUP, OnSignal);
@@ -305,8 +325,9 @@
     return exchange->Send(kUnavailable,
                           m_platform.protocol->EncodeLocalResponse(id, kRetryAfterStopping), "");
   }
-  const CallContext context{m_loop, *m_platform.protocol, m_routing_state,   m_fleet,
-                            m_pool, m_retry_budgets,      m_backend_notices, m_metrics};
+  const CallContext context{m_loop,           *m_platform.protocol, m_routing_state,   m_fleet,
+                            m_pool,           m_retry_budgets,      m_backend_notices, m_metrics,
+                            m_response_memory};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
@@ -359,6 +380,10 @@
   }
   m_metrics.SetGauge("gateway_log_dropped_lines",
                      static_cast<double>(m_log_writer->DroppedLines()));
+  m_metrics.SetGauge("gateway_response_memory_bytes",
+                     static_cast<double>(m_response_memory.Used()));
+  m_metrics.SetGauge("gateway_memory_evictions",
+                     static_cast<double>(m_response_memory.EvictionCount()));
   m_metrics.SetGauge("gateway_waiting",
                      static_cast<double>(m_coordinator.RequestScheduler().WaitingCount()));
   m_metrics.SetGauge("gateway_running",
@@ -392,6 +417,7 @@
 }
 
 void Gateway::ApplySettings() {
+  m_response_memory.SetLimit(m_settings.max_response_memory);
   m_routing_state.SetBounds(MakeStalenessBounds(m_settings));
   m_coordinator.SetQuotaTolerance(
       {m_settings.quota_window, m_settings.quota_excess_ratio, m_settings.quota_slack});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,7 +30,8 @@
 /// address in the settings.
 struct Platform {
   std::unique_ptr<Protocol> protocol;
-  std::function<std::unique_ptr<StoreClient>(EventLoop& loop, const Settings& settings)>
+  std::function<std::unique_ptr<StoreClient>(EventLoop& loop, const Settings& settings,
+                                             MemoryAccount& response_memory)>
       make_store_client;
   SettingsReader read_settings;
 };
@@ -89,6 +90,7 @@
   std::shared_ptr<LogWriter> m_log_writer;
   Metrics m_metrics;
   RoutingState m_routing_state;
+  MemoryAccount m_response_memory;  ///< bytes of responses that are not passed on yet
   std::unique_ptr<StoreClient> m_store_client;
   std::unique_ptr<ObjectWatch> m_config_watch;
   std::unique_ptr<ObjectWatch> m_backend_watch;
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -101,6 +101,8 @@
               "result counts of the requests of one kind and size group since the start"},
     EventInfo{kBackendCrashed, "backend_crashed", kWarning,
               "a backend server crashed while requests ran on it"},
+    EventInfo{kMemoryReleased, "memory_released", kWarning,
+              "a response was ended because responses together hold too much memory"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
--- a/src/kernel/http1-pool.cc
+++ b/src/kernel/http1-pool.cc
@@ -121,7 +121,9 @@
         m_address(std::move(address)),
         m_handlers(std::move(handlers)),
         m_parser(HttpParser::Kind::kResponse, m_pool->options.max_header_bytes, ParserCallbacks()),
-        m_connect_timer(m_pool->loop) {}
+        m_connect_timer(m_pool->loop),
+        m_head_holder(m_pool->options.account,
+                      [this] { Finish(PooledCallResult::kMalformedResponse); }) {}
 
   ~Call() override {
     if (m_stream) m_stream->Close();
@@ -203,7 +205,8 @@
     }
     if (status == ParseStatus::kFailed || m_skipped_bytes > kMaxSkippedBytes)
       return Finish(PooledCallResult::kMalformedResponse);
-    if (status == ParseStatus::kMessageEnd) FinishComplete();
+    if (status == ParseStatus::kMessageEnd) return FinishComplete();
+    m_head_holder.Set(m_parser.BufferedBytes());
   }
 
   void FinishComplete() {
@@ -234,6 +237,7 @@
 
   void Finish(PooledCallResult result) {
     m_connect_timer.Stop();
+    m_head_holder.Release();
     if (result == PooledCallResult::kConnectFailed) ++m_pool->stats.connect_failures;
     if (m_stream) m_stream->Close();
     // The callback may destroy this call.
@@ -246,6 +250,7 @@
   PooledCallHandlers m_handlers;
   HttpParser m_parser;
   Timer m_connect_timer;
+  MemoryAccount::Holder m_head_holder;
   std::shared_ptr<TcpStream> m_stream;
   std::string m_unsent_request;
   bool m_is_connected = false;
--- a/src/kernel/http1-pool.h
+++ b/src/kernel/http1-pool.h
@@ -10,6 +10,7 @@
 
 #include "bluebellpass/timer.h"
 #include "http1.h"
+#include "memory-account.h"
 #include "tcp-stream.h"
 
 namespace bluebellpass {
@@ -32,6 +33,8 @@
   std::size_t max_idle_per_address = 16;
   std::uint32_t max_header_bytes = 64U << 10U;
   TcpKeepAlive keep_alive;
+  /// Counts the bytes of incomplete heads; above its limit a call ends as malformed. May be null.
+  MemoryAccount* account = nullptr;
 };
 
 /// Counters for metrics.
--- a/src/kernel/http1-server.cc
+++ b/src/kernel/http1-server.cc
@@ -46,6 +46,8 @@
   void CloseAfterResponse() { m_is_closing = true; }
 
   void FinishResponse() {
+    // Writing the end of the response may have closed the connection.
+    if (!IsOpen()) return;
     m_exchange.reset();
     if (m_is_closing) {
       m_stream->CloseAfterWrites();
@@ -227,8 +229,9 @@
   if (const auto function = std::exchange(m_on_closed, nullptr)) function();
 }
 
-Http1Server::Http1Server(EventLoop& loop, Http1Limits limits, Handler handler)
-    : m_loop(loop), m_limits(limits), m_handler(std::move(handler)) {}
+Http1Server::Http1Server(EventLoop& loop, Http1Limits limits, Handler handler,
+                         MemoryAccount* account)
+    : m_loop(loop), m_limits(limits), m_handler(std::move(handler)), m_account(account) {}
 
 Http1Server::~Http1Server() {
   StopAccepting();
@@ -256,7 +259,7 @@
   // Closing excess connections immediately keeps the accept queue moving.
   if (server->m_connections.size() >= server->m_limits.max_connections)
     return h2o_socket_close(socket);
-  auto stream = TcpStream::Accept(socket, TcpKeepAlive{});
+  auto stream = TcpStream::Accept(socket, TcpKeepAlive{}, server->m_account);
   auto connection = std::make_shared<Http1Connection>(*server, std::move(stream));
   server->m_connections.emplace(connection.get(), connection);
   connection->Begin();
--- a/src/kernel/http1-server.h
+++ b/src/kernel/http1-server.h
@@ -70,7 +70,9 @@
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-  Http1Server(EventLoop& loop, Http1Limits limits, Handler handler);
+  /// @param account counts the bytes of responses that clients have not taken yet; may be null
+  Http1Server(EventLoop& loop, Http1Limits limits, Handler handler,
+              MemoryAccount* account = nullptr);
   ~Http1Server();
   Http1Server(const Http1Server&) = delete;
   Http1Server& operator=(const Http1Server&) = delete;
@@ -97,6 +99,7 @@
   EventLoop& m_loop;
   Http1Limits m_limits;
   Handler m_handler;
+  MemoryAccount* m_account;
   st_h2o_socket_t* m_listener = nullptr;
   bool m_is_draining = false;
   std::unordered_map<Http1Connection*, std::shared_ptr<Http1Connection>> m_connections;
--- a/src/kernel/http1.cc
+++ b/src/kernel/http1.cc
@@ -20,6 +20,10 @@
     "connection", "keep-alive",        "proxy-connection", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
+// A decoded field takes far more memory than its few bytes in a head. Requests are limited by their
+// bytes alone, as stated to callers.
+constexpr std::size_t kMaxResponseFields = 256;
+
 std::string ToString(BeastView text) { return {text.data(), text.size()}; }
 
 /// Collects the head of a message from Beast's parser and passes on its body.
@@ -51,6 +55,10 @@
       error = http::error::bad_transfer_encoding;
       return;
     }
+    if (!kIsRequest && head.fields.size() >= kMaxResponseFields) {
+      error = http::error::header_limit;
+      return;
+    }
     head.fields.push_back({ToString(name), ToString(value)});
   }
   void on_header_impl(BeastError& error) override {
--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -15,6 +16,11 @@
 namespace bluebellpass {
 namespace {
 
+// Bytes of a connection that are handled in one iteration of the event loop.
+constexpr std::size_t kReadBytes = 64U << 10U;
+// A write buffer that has grown beyond this is freed once it is written.
+constexpr std::size_t kMaxKeptWriteBytes = 16U << 10U;
+
 void SetOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
 }
@@ -38,9 +44,13 @@
   ConfigureSocket(h2o_socket_get_fd(socket), keep_alive);
 }
 
-std::shared_ptr<TcpStream> TcpStream::Accept(h2o_socket_t* socket, const TcpKeepAlive& keep_alive) {
+std::shared_ptr<TcpStream> TcpStream::Accept(h2o_socket_t* socket, const TcpKeepAlive& keep_alive,
+                                             MemoryAccount* account) {
   auto stream = std::make_shared<TcpStream>();
   stream->m_is_connected = true;
+  if (account != nullptr)
+    stream->m_pending_holder = std::make_unique<MemoryAccount::Holder>(
+        account, [self = stream.get()] { self->End(StreamEndReason::kReset); });
   stream->Attach(socket, keep_alive);
   return stream;
 }
@@ -79,33 +89,37 @@
 void TcpStream::HandleRead(h2o_socket_t* socket, const char* error) {
   if (socket->data == nullptr) return;
   const auto self = static_cast<TcpStream*>(socket->data)->shared_from_this();
-  // Bytes that arrived before the close are reported in the same call.
-  if (socket->input->size != 0) {
-    const std::string bytes(socket->input->bytes, socket->input->size);
-    h2o_buffer_consume(&socket->input, socket->input->size);
-    // The handler may be replaced while it runs.
-    ReadHandler handler = std::exchange(self->m_read_handler, nullptr);
-    if (handler) handler(bytes);
-    if (!self->m_read_handler && self->IsOpen() && !self->m_is_closing_after_writes)
-      self->m_read_handler = std::move(handler);
-  }
-  if (error == nullptr || !self->IsOpen()) return;
-  self->End(error == h2o_socket_error_closed ? StreamEndReason::kClosed : StreamEndReason::kReset);
+  if (error != nullptr) return self->End(StreamEndReason::kReset);
+  std::array<char, kReadBytes> buffer;
+  const auto received = ReadAvailable(socket, buffer);
+  if (const auto* reason = std::get_if<StreamEndReason>(&received)) return self->End(*reason);
+  const auto bytes = std::get<std::string_view>(received);
+  if (bytes.empty()) return;
+  // The handler may be replaced while it runs.
+  ReadHandler handler = std::exchange(self->m_read_handler, nullptr);
+  if (handler) handler(bytes);
+  if (!self->m_read_handler && self->IsOpen() && !self->m_is_closing_after_writes)
+    self->m_read_handler = std::move(handler);
 }
 
 void TcpStream::HandleWritten(h2o_socket_t* socket, const char* error) {
   if (socket->data == nullptr) return;
   const auto self = static_cast<TcpStream*>(socket->data)->shared_from_this();
   if (error != nullptr) return self->End(StreamEndReason::kReset);
-  self->m_sending.clear();
+  if (self->m_sending.capacity() > kMaxKeptWriteBytes) {
+    self->m_sending = std::string();
+  } else {
+    self->m_sending.clear();
+  }
   self->Flush();
+  self->CountPendingBytes();
   if (!self->IsOpen() || self->PendingBytes() != 0) return;
   if (self->m_is_closing_after_writes) self->Close();
 }
 
 void TcpStream::StartReading() {
   if (m_socket == nullptr || !m_is_connected || !m_read_handler || m_is_paused) return;
-  h2o_socket_read_start(m_socket, &TcpStream::HandleRead);
+  StartBoundedReading(m_socket, &TcpStream::HandleRead);
 }
 
 void TcpStream::SetPaused(bool is_paused) {
@@ -127,6 +141,11 @@
     m_pending += bytes;
   }
   Flush();
+  CountPendingBytes();
+}
+
+void TcpStream::CountPendingBytes() {
+  if (m_pending_holder) m_pending_holder->Set(m_pending.capacity() + m_sending.capacity());
 }
 
 void TcpStream::Flush() {
@@ -159,6 +178,9 @@
   m_read_handler = nullptr;
   m_on_end = nullptr;
   h2o_socket_close(socket);
+  m_pending = std::string();
+  m_sending = std::string();
+  if (m_pending_holder) m_pending_holder->Release();
 }
 
 void TcpStream::End(StreamEndReason reason) {
@@ -168,6 +190,21 @@
   if (handler) handler(reason);
 }
 
+std::variant<std::string_view, StreamEndReason> ReadAvailable(h2o_socket_t* socket,
+                                                              std::span<char> buffer) {
+  const ssize_t count = recv(h2o_socket_get_fd(socket), buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (count > 0) return std::string_view(buffer.data(), static_cast<std::size_t>(count));
+  if (count == 0) return StreamEndReason::kClosed;
+  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return std::string_view();
+  return StreamEndReason::kReset;
+}
+
+void StartBoundedReading(h2o_socket_t* socket,
+                         void (*on_readable)(h2o_socket_t* socket, const char* error)) {
+  h2o_socket_dont_read(socket, 1);
+  h2o_socket_read_start(socket, on_readable);
+}
+
 ListeningSocket OpenListeningSocket(EventLoop& loop, const Address& address, int backlog) {
   ListeningSocket result;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -2,10 +2,13 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "bluebellpass/types.h"
+#include "memory-account.h"
 
 struct st_h2o_socket_t;
 
@@ -30,7 +33,7 @@
 };
 
 /// A TCP connection on the event loop. Callbacks are called from the loop, never from inside a
-/// member function.
+/// member function, except for the end handler when an account makes a stream give up its bytes.
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   using ReadHandler = std::function<void(std::string_view bytes)>;
@@ -42,7 +45,9 @@
   TcpStream& operator=(const TcpStream&) = delete;
 
   /// Creates a stream that owns an accepted socket.
-  static std::shared_ptr<TcpStream> Accept(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive);
+  /// @param account counts the bytes that wait to be sent; above its limit the connection is reset
+  static std::shared_ptr<TcpStream> Accept(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive,
+                                           MemoryAccount* account = nullptr);
   /// Starts to connect. A failure is reported to the end handler as kConnectFailed.
   static std::shared_ptr<TcpStream> Connect(EventLoop& loop, const Address& address,
                                             const TcpKeepAlive& keep_alive,
@@ -81,6 +86,7 @@
   void Attach(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive);
   void StartReading();
   void Flush();
+  void CountPendingBytes();
   void End(StreamEndReason reason);
 
   st_h2o_socket_t* m_socket = nullptr;
@@ -92,8 +98,19 @@
   ReadHandler m_read_handler;
   EndHandler m_on_end;
   std::function<void()> m_on_connected;
+  std::unique_ptr<MemoryAccount::Holder> m_pending_holder;  ///< null if nothing is counted
 };
 
+/// Reads what a socket has received, up to the size of the buffer. The library would read on while
+/// the peer sends faster, into memory of its own. To be called for a socket that is set up by
+/// StartBoundedReading.
+/// @return the bytes, which are empty if none have arrived, or the reason if the stream has ended
+std::variant<std::string_view, StreamEndReason> ReadAvailable(st_h2o_socket_t* socket,
+                                                              std::span<char> buffer);
+/// Calls the function when the socket has input, which the library leaves to ReadAvailable.
+void StartBoundedReading(st_h2o_socket_t* socket,
+                         void (*on_readable)(st_h2o_socket_t* socket, const char* error));
+
 /// A listening socket.
 struct ListeningSocket {
   st_h2o_socket_t* socket = nullptr;
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -14,12 +14,15 @@
 
 #include "kernel/h2o.h"
 #include "kernel/loop.h"
+#include "kernel/tcp-stream.h"
 
 namespace bluebellpass {
 namespace {
 
 constexpr std::size_t kNonceBytes = 32;
 constexpr std::size_t kLengthPrefixBytes = 4;
+// Bytes of a link that are handled in one iteration of the event loop.
+constexpr std::size_t kReadBytes = 64U << 10U;
 
 // Domain separation: a signature made for another purpose is not valid here.
 constexpr std::string_view kSignedPrefix = "bluebellpass link 1";
@@ -117,7 +120,7 @@
 void Link::StartReading() {
   m_state = State::kHello;
   DisableNagle(m_socket);
-  h2o_socket_read_start(m_socket, &Link::OnRead);
+  StartBoundedReading(m_socket, &Link::OnRead);
 }
 
 const std::string& Link::InitiatorHello() const {
@@ -142,25 +145,37 @@
   if (socket->data == nullptr) return;
   const auto self = static_cast<Link*>(socket->data)->shared_from_this();
   if (error != nullptr) return self->Close(error);
+  std::array<char, kReadBytes> buffer;
+  const auto received = ReadAvailable(socket, buffer);
+  if (const auto* reason = std::get_if<StreamEndReason>(&received))
+    return self->Close(*reason == StreamEndReason::kClosed ? h2o_socket_error_closed
+                                                           : h2o_socket_error_io);
+  self->m_received.append(std::get<std::string_view>(received));
   self->ReadFrames();
 }
 
 void Link::ReadFrames() {
-  while (m_state != State::kClosed && ReadFrame()) {
+  std::size_t used = 0;
+  while (m_state != State::kClosed && ReadFrame(used)) {
+  }
+  if (used == m_received.size()) {
+    m_received = std::string();
+  } else {
+    m_received.erase(0, used);
   }
 }
 
-bool Link::ReadFrame() {
-  h2o_buffer_t* input = m_socket->input;
-  if (input->size < kLengthPrefixBytes) return false;
-  const std::size_t length = ReadLength(input->bytes);
+bool Link::ReadFrame(std::size_t& position) {
+  const std::size_t available = m_received.size() - position;
+  if (available < kLengthPrefixBytes) return false;
+  const std::size_t length = ReadLength(m_received.data() + position);
   if (length > (IsReady() ? kMaxFrameBytes : kMaxHandshakeBytes)) {
     Close("frame too large");
     return false;
   }
-  if (input->size < kLengthPrefixBytes + length) return false;
-  std::string bytes(input->bytes + kLengthPrefixBytes, length);
-  h2o_buffer_consume(&m_socket->input, kLengthPrefixBytes + length);
+  if (available < kLengthPrefixBytes + length) return false;
+  std::string bytes = m_received.substr(position + kLengthPrefixBytes, length);
+  position += kLengthPrefixBytes + length;
   HandleFrame(std::move(bytes));
   return true;
 }
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -106,7 +106,10 @@
   void SendHello();
   void SendAuth();
   void ReadFrames();
-  bool ReadFrame();
+  /// Handles the frame at a position of the received bytes.
+  /// @param position moved behind the frame
+  /// @return false if it is incomplete
+  bool ReadFrame(std::size_t& position);
   void HandleFrame(std::string bytes);
   void HandleHello(const HelloFrame& hello, std::string bytes);
   void HandleAuth(const AuthFrame& auth);
@@ -126,8 +129,9 @@
   InstanceInfo m_peer;
   std::string m_own_hello;
   std::string m_peer_hello;
-  std::string m_pending;  ///< not yet passed to the socket
-  std::string m_sending;  ///< passed to the socket, which is writing them
+  std::string m_received;  ///< part of a frame
+  std::string m_pending;   ///< not yet passed to the socket
+  std::string m_sending;   ///< passed to the socket, which is writing them
   bool m_is_send_buffer_full = false;
   TimePoint m_last_frame;
   std::optional<TimePoint> m_ready_since;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -300,6 +300,7 @@
   BOOST_TEST(settings.metrics_listen.Text() == "10.1.0.25:7615");
   BOOST_TEST((settings.stop_grace == Millis{8'000}));
   BOOST_TEST(settings.max_descriptors == 4'100U);
+  BOOST_TEST(settings.max_response_memory == 40U << 20U);
   BOOST_TEST((settings.max_revocation_delay == Millis{5'000}));
   BOOST_TEST(settings.quota_slack == 140'000);
   for (const char* line :
@@ -348,6 +349,63 @@
   BOOST_TEST((std::get<gateway::ObjectPage>(*result).revision == gateway::Revision(3)));
 }
 
+// Guards against a response of the store without end that fills the memory, and against a watch
+// that never gets past changes too long for one response.
+BOOST_AUTO_TEST_CASE(EndlessResponseOfTheStoreEnds) {
+  EventLoop loop;
+  std::shared_ptr<HttpExchange> exchange;
+  Http1Server server(loop, {}, [&](std::shared_ptr<HttpExchange> call) {
+    exchange = std::move(call);
+    exchange->Start(200, {});
+  });
+  MemoryAccount account(1U << 20U);
+  PlatformStore store(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})), &account);
+  constexpr std::size_t kMaxSentBytes = 64U << 20U;
+  const auto play = [&](const std::function<void()>& call, const auto& has_ended) {
+    exchange = nullptr;
+    call();
+    std::size_t sent = 0;
+    std::size_t most_held = 0;
+    while (!has_ended() && sent < kMaxSentBytes) {
+      loop.RunOnce(Millis{1});
+      most_held = std::max(most_held, account.Used());
+      if (!exchange || exchange->PendingBytes() > 0) continue;
+      exchange->Write(std::string(64U << 10U, 'x'));
+      sent += 64U << 10U;
+    }
+    BOOST_TEST(has_ended());
+    // The bytes of a call to the store are counted, though they are never released early.
+    BOOST_TEST(most_held > 0U);
+    BOOST_TEST(most_held < 16U << 20U);
+    BOOST_TEST(account.Used() == 0U);
+  };
+  std::optional<Result<gateway::ObjectPage>> page;
+  const auto on_page = [&](Result<gateway::ObjectPage> result) { page = std::move(result); };
+  const auto has_page = [&] { return page.has_value(); };
+  play(
+      [&] {
+        store.List(gateway::ObjectKind::kBackends, "", gateway::ReadConsistency::kCurrent, on_page);
+      },
+      has_page);
+  BOOST_TEST(!IsOk(*page));
+  page.reset();
+  play(
+      [&] {
+        store.Watch(gateway::ObjectKind::kBackends, gateway::Revision(3), Millis{1'000}, on_page);
+      },
+      has_page);
+  // The objects are listed, in pages.
+  BOOST_TEST((ErrorOf(*page).kind == ErrorKind::kNotFound), ErrorOf(*page).message);
+  std::optional<Result<gateway::Revision>> written;
+  play(
+      [&] {
+        store.Put(gateway::ObjectKind::kInstances, "a", nlohmann::json::object(),
+                  [&](Result<gateway::Revision> result) { written = std::move(result); });
+      },
+      [&] { return written.has_value(); });
+  BOOST_TEST((ErrorOf(*written).kind == ErrorKind::kStoreUncertain));
+}
+
 // Guards against a list that is lost, or a process that ends, because of one unreadable entry of
 // another writer.
 BOOST_AUTO_TEST_CASE(UnreadableEntryDoesNotHideTheOthers) {
