Bound what serve holds of responses and answers

cause: the client of serve collected heads and bodies without a bound (the library's client has none for heads), a stream event of many lines had none, and the answers of running requests grew past the limit for answers.

change: HttpClient uses TcpStream and HttpParser, with a bound on a collected body (4 MB; 64 KB for load reports, 64 MB for the operators' client). Bytes that are no response end a call as kMalformedResponse, which does not count as the death of a backend server. An event has at most 4 MB, an answer 16 MB; above the limit for all answers the largest running ones end, after the retained ones have been dropped.

before and after: http-test EndlessResponseEndsTheCall, home-test EndlessAnswerEndsItsRequestOnly and RunningAnswersShareTheMemory, submission-fuzz-test EndlessEventIsRefused pass now. They were not run on the code before: there the interface has no bounds to state, and the library's client reads heads without one.

conclusion: a relayed answer may still be held once more by the instance that relays it, up to 16 MB.

--- a/src/backend/engine-driver.cc
+++ b/src/backend/engine-driver.cc
@@ -53,6 +53,7 @@
     call.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     call.connect_timeout = kConnectTimeout;
     call.idle_timeout = kCreationTimeout;
+    call.max_body_bytes = kUnlimitedBytes;
     call.may_send = request.may_send;
     OpenStream(std::move(call));
   }
@@ -92,6 +93,7 @@
                 "?stream=true&starting_after=" + std::to_string(m_last_sequence);
     call.connect_timeout = kConnectTimeout;
     call.idle_timeout = kStreamSilenceTimeout;
+    call.max_body_bytes = kUnlimitedBytes;
     OpenStream(std::move(call));
   }
 
--- a/src/backend/service-driver.cc
+++ b/src/backend/service-driver.cc
@@ -54,6 +54,9 @@
         return m_listener.OnFailure(RunFailure::kWithdrawn, message);
       case HttpCallResult::kIdleTimeout:
         return m_listener.OnFailure(RunFailure::kContactLost, "the service did not reply in time");
+      case HttpCallResult::kMalformedResponse:
+        return m_listener.OnFailure(RunFailure::kContactLost,
+                                    "the service's reply cannot be used: " + message);
       case HttpCallResult::kConnectionBroken:
         return m_listener.OnFailure(RunFailure::kBackendDied,
                                     "the service's reply was lost: " + message);
--- a/src/backend/sse-parser.cc
+++ b/src/backend/sse-parser.cc
@@ -3,7 +3,7 @@
 namespace bluebellpass {
 namespace {
 
-constexpr std::size_t kMaxLineBytes = 4U << 20U;
+constexpr std::size_t kMaxEventBytes = 4U << 20U;
 constexpr std::string_view kDataField = "data:";
 
 }  // namespace
@@ -12,7 +12,7 @@
   while (!bytes.empty()) {
     const std::size_t end = bytes.find('\n');
     m_line.append(bytes.substr(0, end));
-    if (m_line.size() > kMaxLineBytes) return false;
+    if (m_line.size() + m_data.size() > kMaxEventBytes) return false;
     if (end == std::string_view::npos) return true;
     bytes.remove_prefix(end + 1);
     if (!m_line.empty() && m_line.back() == '\r') m_line.pop_back();
--- a/src/backend/sse-parser.h
+++ b/src/backend/sse-parser.h
@@ -14,7 +14,7 @@
       : m_on_data(std::move(on_data)) {}
 
   /// Parses the next bytes of the stream, which may end anywhere in a line.
-  /// @return false when a line is longer than 4 MiB; the stream must then be abandoned
+  /// @return false when an event is longer than 4 MiB; the stream must then be abandoned
   bool Feed(std::string_view bytes);
 
  private:
--- a/src/cli/client.cc
+++ b/src/cli/client.cc
@@ -18,6 +18,8 @@
 constexpr const char* kEntryVariable = "BLUEBELLPASS_ENTRY";
 constexpr Millis kConnectTimeout{2'000};
 // A change is confirmed within 13 s: 10 s to write it, and 3 s until the members have reported it.
+// Listings of a large fleet have some ten thousand rows.
+constexpr std::size_t kMaxReplyBytes = 64U << 20U;
 constexpr Millis kReplyTimeout{30'000};
 constexpr Millis kMaxLoopWait{100};  ///< longest wait for events in one loop iteration
 
@@ -135,7 +137,8 @@
                   .headers = {{"content-type", "text/plain"}},
                   .body = text,
                   .connect_timeout = kConnectTimeout,
-                  .idle_timeout = kReplyTimeout},
+                  .idle_timeout = kReplyTimeout,
+                  .max_body_bytes = kMaxReplyBytes},
                  [&](Result<HttpResponse> result) { reply = std::move(result); });
     while (!reply) loop.RunOnce(kMaxLoopWait);
     last_result = *std::move(reply);
--- a/src/cli/timeline.cc
+++ b/src/cli/timeline.cc
@@ -18,6 +18,8 @@
 using nlohmann::ordered_json;
 
 constexpr unsigned kCounterBits = 16;
+// Several times the size of the longest page of events.
+constexpr std::size_t kMaxPageBytes = 64U << 20U;
 constexpr Millis kMaxLoopWait{50};
 constexpr std::array<std::string_view, 6> kCommonMembers = {"n",     "time", "instance",
                                                             "event", "name", "severity"};
@@ -58,6 +60,7 @@
     HttpClientRequest request;
     request.address = m_address;
     request.path = "/v1/events?after=" + std::to_string(m_last_number);
+    request.max_body_bytes = kMaxPageBytes;
     m_client.Fetch(std::move(request),
                    [this](const Result<HttpResponse>& result) { OnPage(result); });
   }
--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -372,6 +372,8 @@
   request.answer.append(bytes);
   m_answer_bytes += bytes.size();
   FeedReaders(request);
+  if (request.answer.size() > m_context.max_bytes_per_answer) return EndForMemory(request);
+  LimitAnswerMemory();
 }
 
 void HomeTask::OnRunEnd(Request& request, const RunUsage& usage) {
--- a/src/home/home-task.cc
+++ b/src/home/home-task.cc
@@ -336,6 +336,31 @@
     if (m_answer_bytes <= m_context.max_answer_bytes) return;
     DiscardAnswer(*request);
   }
+  while (m_answer_bytes > m_context.max_answer_bytes) {
+    const auto largest =
+        std::max_element(m_requests.begin(), m_requests.end(), [](const auto& a, const auto& b) {
+          return a.second->answer.size() < b.second->answer.size();
+        });
+    EndForMemory(*largest->second);
+  }
+}
+
+void HomeTask::EndForMemory(Request& request) {
+  if (request.phase == Phase::kDispatched) {
+    if (request.run) request.run->Cancel();
+    OnRunFailure(request, RunFailure::kContactLost, "the answer takes too much memory");
+  }
+  const AnswerEnd end =
+      request.end && request.end->error
+          ? *request.end
+          : MakeErrorEnd({ErrorKind::kAnswerExpired,
+                          "the answer was not read and takes too much memory", "id"});
+  for (Reader& reader : std::exchange(request.readers, {})) {
+    const auto sink = reader.sink;
+    DropReader(reader);
+    if (sink) sink->OnEnd(end);
+  }
+  DiscardAnswer(request);
 }
 
 void HomeTask::BeginStop() { m_is_stopping = true; }
--- a/src/home/home-task.h
+++ b/src/home/home-task.h
@@ -33,7 +33,9 @@
   ResumeTokenSigner& token_signer;
   Metrics& metrics;
   const Ownership& ownership;
-  std::size_t max_answer_bytes = 256U << 20U;  ///< limit on the memory of retained answers
+  std::size_t max_answer_bytes = 256U << 20U;  ///< limit on the memory of all answers
+  /// Longest answer of one request; a faulty backend server may send without end.
+  std::size_t max_bytes_per_answer = 16U << 20U;
 };
 
 /// Summary of a request in an operator's listing.
@@ -136,6 +138,8 @@
   void RemoveExpired();
   void DiscardAnswer(Request& request);
   void LimitAnswerMemory();
+  /// Ends the run and the readers of a request, and frees its answer.
+  void EndForMemory(Request& request);
   RequestRow MakeRow(const Request& request) const;
 
   // Reservations and dispatch (home-dispatch.cc).
--- a/src/kernel/h2o.h
+++ b/src/kernel/h2o.h
@@ -9,7 +9,6 @@
 extern "C" {
 #include <h2o.h>
 #include <h2o/http1.h>
-#include <h2o/http1client.h>
 #include <h2o/http2.h>
 }
 #pragma GCC diagnostic pop
--- a/src/kernel/http-client.cc
+++ b/src/kernel/http-client.cc
@@ -5,32 +5,16 @@
 #include <unordered_map>
 #include <utility>
 
-#include "h2o.h"
+#include "http1.h"
 #include "loop.h"
+#include "tcp-stream.h"
 
 namespace bluebellpass {
 namespace {
 
-// h2o has one timeout for all calls of a client; each call sets its own shorter timer.
-constexpr std::uint64_t kLibraryTimeoutMs = 3'600'000;
-
-/// The h2o client context, shared by all calls.
-struct ClientContext {
-  explicit ClientContext(EventLoop& event_loop) : loop(event_loop) {
-    h2o_timeout_init(loop.Native(), &io_timeout, kLibraryTimeoutMs);
-    queue = h2o_multithread_create_queue(loop.Native());
-    h2o_multithread_register_receiver(queue, &receiver, h2o_hostinfo_getaddr_receiver);
-    native.loop = loop.Native();
-    native.getaddr_receiver = &receiver;
-    native.io_timeout = &io_timeout;
-  }
-
-  EventLoop& loop;
-  h2o_timeout_t io_timeout{};
-  h2o_multithread_queue_t* queue = nullptr;
-  h2o_multithread_receiver_t receiver{};
-  h2o_http1client_ctx_t native{};
-};
+constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
+// Responses with status 1xx that may precede the final one.
+constexpr int kMaxInterimResponses = 8;
 
 std::string BuildRequestText(const HttpClientRequest& request) {
   std::string text = request.method + " " + request.path +
@@ -44,152 +28,105 @@
   return text;
 }
 
-class Call;
-
-/// State used by h2o's callbacks. Outlives the call until h2o has released its client.
-struct CallHandle {
-  Call* call = nullptr;  ///< null once the call has ended or was destroyed
-  h2o_http1client_t* client = nullptr;
-  std::string request_text;
-  h2o_iovec_t buffer{};
-};
-
-/// Cancels the h2o client of a call.
-void ReleaseClient(EventLoop& loop, const std::shared_ptr<CallHandle>& handle) {
-  handle->call = nullptr;
-  h2o_http1client_t* client = handle->client;
-  if (client == nullptr) return;
-  const bool is_writing = client->sock != nullptr && h2o_socket_is_writing(client->sock) != 0;
-  if (!is_writing) {
-    handle->client = nullptr;
-    h2o_http1client_cancel(client);
-    return;
+HttpHeaders HeadersOf(const HttpHead& head) {
+  HttpHeaders headers;
+  for (const HttpField& field : head.fields) {
+    std::string name = field.name;
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    headers[std::move(name)] = field.value;
   }
-  // h2o frees a closed socket before it runs the callback of a write that has just completed, so
-  // the close waits for a full loop iteration.
-  loop.Post([&loop, handle] {
-    loop.Post([handle] {
-      if (handle->client != nullptr) h2o_http1client_cancel(std::exchange(handle->client, nullptr));
-    });
-  });
+  return headers;
 }
 
 class Call : public HttpCall {
  public:
-  Call(std::shared_ptr<ClientContext> context, HttpClientRequest request, HttpCallHandlers handlers)
-      : m_context(std::move(context)),
+  Call(EventLoop& loop, HttpClientRequest request, HttpCallHandlers handlers)
+      : m_loop(loop),
         m_request(std::move(request)),
         m_handlers(std::move(handlers)),
-        m_timer(m_context->loop) {}
+        m_parser(HttpParser::Kind::kResponse, kMaxHeadBytes, ParserCallbacks()),
+        m_timer(loop) {}
 
   ~Call() override {
     *m_alive = false;
-    ReleaseClient(m_context->loop, m_handle);
+    if (m_stream) m_stream->Close();
   }
 
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
   void Begin() {
-    m_handle->call = this;
-    m_handle->request_text = BuildRequestText(m_request);
-    m_handle->buffer = h2o_iovec_init(m_handle->request_text.data(), m_handle->request_text.size());
+    m_parser.Restart(m_request.method == "HEAD");
     m_timer.Start(m_request.connect_timeout,
                   [this] { Finish(HttpCallResult::kConnectTimeout, "connect timeout"); });
-    m_context->loop.Post([this, alive = m_alive] {
-      if (!*alive || m_is_finished) return;
-      h2o_http1client_connect(
-          &m_handle->client, m_handle.get(), &m_context->native,
-          h2o_iovec_init(m_request.address.ip.data(), m_request.address.ip.size()),
-          m_request.address.port, 0, &Call::OnConnect);
-    });
+    m_stream =
+        TcpStream::Connect(m_loop, m_request.address, TcpKeepAlive{}, [this] { OnConnected(); });
+    m_stream->OnEnd([this](StreamEndReason reason) { OnStreamEnd(reason); });
+    m_stream->Read([this](std::string_view bytes) { OnBytes(bytes); });
   }
 
  private:
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client, const char* error,
-                                           h2o_iovec_t** buffers, std::size_t* buffer_count,
-                                           int* is_head) {
-    auto* handle = static_cast<CallHandle*>(client->data);
-    Call* self = handle->call;
-    // Returning no callback makes h2o close the connection and free its client.
-    if (self == nullptr || error != nullptr) {
-      handle->client = nullptr;
-      if (self != nullptr) self->Finish(HttpCallResult::kConnectFailed, error);
-      return nullptr;
-    }
-    if (self->m_request.may_send && !self->m_request.may_send()) {
-      handle->client = nullptr;
-      self->Finish(HttpCallResult::kWithdrawn, "withdrawn before sending");
-      return nullptr;
-    }
-    *buffers = &handle->buffer;
-    *buffer_count = 1;
-    *is_head = 0;
-    self->RestartIdleTimer();
-    return &Call::OnHead;
+  HttpParser::Callbacks ParserCallbacks() {
+    return {[this](const HttpHead& head) { OnHead(head); },
+            [this](std::string_view bytes) { OnBody(bytes); }};
   }
 
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client, const char* error,
-                                        int /*minor_version*/, int status, h2o_iovec_t /*message*/,
-                                        h2o_header_t* headers, std::size_t header_count,
-                                        int /*length*/) {
-    auto* handle = static_cast<CallHandle*>(client->data);
-    Call* self = handle->call;
-    const bool is_end = error == h2o_http1client_error_is_eos;
-    if (self == nullptr || (error != nullptr && !is_end)) {
-      handle->client = nullptr;
-      if (self != nullptr) self->Finish(HttpCallResult::kConnectionBroken, error);
-      return nullptr;
-    }
-    HttpHeaders fields;
-    for (std::size_t i = 0; i < header_count; ++i) {
-      std::string name(headers[i].name->base, headers[i].name->len);
-      std::transform(name.begin(), name.end(), name.begin(),
-                     [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-      fields[std::move(name)] = std::string(headers[i].value.base, headers[i].value.len);
-    }
-    self->RestartIdleTimer();
-    self->PostEvent([self, status, fields = std::move(fields)] {
-      if (self->m_handlers.on_head) self->m_handlers.on_head(status, fields);
+  void OnConnected() {
+    if (m_request.may_send && !m_request.may_send())
+      return Finish(HttpCallResult::kWithdrawn, "withdrawn before sending");
+    m_is_connected = true;
+    RestartIdleTimer();
+    m_stream->Write(BuildRequestText(m_request));
+  }
+
+  void OnHead(const HttpHead& head) {
+    m_is_interim = head.status >= 100 && head.status < 200;
+    if (m_is_interim) return;
+    RestartIdleTimer();
+    PostEvent([this, status = head.status, headers = HeadersOf(head)] {
+      if (m_handlers.on_head) m_handlers.on_head(status, headers);
     });
-    if (is_end) {
-      // h2o frees its client after this callback, so it must not be cancelled too.
-      handle->client = nullptr;
-      self->Finish(HttpCallResult::kComplete, "");
-      return nullptr;
-    }
-    return &Call::OnBody;
   }
 
-  static int OnBody(h2o_http1client_t* client, const char* error) {
-    auto* handle = static_cast<CallHandle*>(client->data);
-    Call* self = handle->call;
-    const bool is_end = error == h2o_http1client_error_is_eos;
-    if (self == nullptr || (error != nullptr && !is_end)) {
-      handle->client = nullptr;
-      if (self != nullptr) self->Finish(HttpCallResult::kConnectionBroken, error);
-      // A non-zero value makes h2o close a connection that has not failed.
-      return -1;
-    }
-    if (client->sock->input->size != 0) {
-      std::string bytes(client->sock->input->bytes, client->sock->input->size);
-      h2o_buffer_consume(&client->sock->input, client->sock->input->size);
-      self->RestartIdleTimer();
-      self->PostEvent([self, bytes = std::move(bytes)] {
-        if (self->m_handlers.on_data) self->m_handlers.on_data(bytes);
-      });
-    }
-    if (is_end) {
-      handle->client = nullptr;
-      self->Finish(HttpCallResult::kComplete, "");
+  void OnBody(std::string_view bytes) {
+    if (m_is_finished) return;
+    RestartIdleTimer();
+    m_body_bytes += bytes.size();
+    if (m_body_bytes > m_request.max_body_bytes)
+      return Finish(HttpCallResult::kMalformedResponse, "the response is too long");
+    PostEvent([this, text = std::string(bytes)] {
+      if (m_handlers.on_data) m_handlers.on_data(text);
+    });
+  }
+
+  void OnBytes(std::string_view bytes) {
+    ParseStatus status = m_parser.Parse(bytes);
+    while (status == ParseStatus::kMessageEnd && std::exchange(m_is_interim, false)) {
+      if (++m_interim_responses > kMaxInterimResponses)
+        return Finish(HttpCallResult::kMalformedResponse, "too many interim responses");
+      m_parser.Restart(m_request.method == "HEAD");
+      status = m_parser.Parse({});
     }
-    return 0;
+    if (status == ParseStatus::kFailed)
+      return Finish(HttpCallResult::kMalformedResponse,
+                    "malformed response: " + m_parser.ErrorText());
+    if (status == ParseStatus::kMessageEnd) Finish(HttpCallResult::kComplete, "");
+  }
+
+  void OnStreamEnd(StreamEndReason reason) {
+    if (!m_is_connected) return Finish(HttpCallResult::kConnectFailed, "connection refused");
+    // A response without a length ends with an orderly close.
+    if (reason == StreamEndReason::kClosed && m_parser.ParseEnd() == ParseStatus::kMessageEnd &&
+        !m_is_interim)
+      return Finish(HttpCallResult::kComplete, "");
+    Finish(HttpCallResult::kConnectionBroken, "the connection ended before the response");
   }
 
-  /// Runs a callback in the next loop iteration: it may destroy the call, which must not happen
-  /// inside a callback of h2o.
+  /// Runs a callback in a later step of the event loop: it may destroy the call, which must not
+  /// happen inside a callback of the stream or the parser.
   void PostEvent(std::function<void()> event) {
-    m_context->loop.Post([alive = m_alive, event = std::move(event)] {
+    m_loop.Post([alive = m_alive, event = std::move(event)] {
       if (*alive) event();
     });
   }
@@ -203,18 +140,23 @@
     if (m_is_finished) return;
     m_is_finished = true;
     m_timer.Stop();
-    ReleaseClient(m_context->loop, m_handle);
+    if (m_stream) m_stream->Close();
     PostEvent([this, result, message] {
       const auto on_end = m_handlers.on_end;
       if (on_end) on_end(result, message);
     });
   }
 
-  std::shared_ptr<ClientContext> m_context;
+  EventLoop& m_loop;
   HttpClientRequest m_request;
   HttpCallHandlers m_handlers;
+  HttpParser m_parser;
   Timer m_timer;
-  std::shared_ptr<CallHandle> m_handle = std::make_shared<CallHandle>();
+  std::shared_ptr<TcpStream> m_stream;
+  std::size_t m_body_bytes = 0;
+  int m_interim_responses = 0;
+  bool m_is_interim = false;
+  bool m_is_connected = false;
   bool m_is_finished = false;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
@@ -222,20 +164,18 @@
 }  // namespace
 
 struct HttpClient::Impl {
-  std::shared_ptr<ClientContext> context;
+  EventLoop& loop;
   std::unordered_map<std::uint64_t, std::unique_ptr<HttpCall>> fetches;
   std::uint64_t next_fetch_id = 1;
 };
 
-HttpClient::HttpClient(EventLoop& loop) : m_impl(std::make_unique<Impl>()) {
-  m_impl->context = std::make_shared<ClientContext>(loop);
-}
+HttpClient::HttpClient(EventLoop& loop) : m_impl(std::make_unique<Impl>(Impl{loop, {}})) {}
 
-HttpClient::~HttpClient() { KeepUntilExit(m_impl->context); }
+HttpClient::~HttpClient() = default;
 
 std::unique_ptr<HttpCall> HttpClient::StartCall(HttpClientRequest request,
                                                 HttpCallHandlers handlers) {
-  auto call = std::make_unique<Call>(m_impl->context, std::move(request), std::move(handlers));
+  auto call = std::make_unique<Call>(m_impl->loop, std::move(request), std::move(handlers));
   call->Begin();
   return call;
 }
@@ -262,6 +202,7 @@
         return done(Error{ErrorKind::kStoreUnavailable, message, ""});
       case HttpCallResult::kIdleTimeout:
       case HttpCallResult::kConnectionBroken:
+      case HttpCallResult::kMalformedResponse:
         return done(Error{ErrorKind::kStoreUncertain, message, ""});
     }
   };
--- a/src/owner/load-poller.cc
+++ b/src/owner/load-poller.cc
@@ -11,6 +11,7 @@
 constexpr Millis kTickPeriod{200};
 // A slower report is too old to be of use.
 constexpr Millis kReportTimeout{1'000};
+constexpr std::size_t kMaxReportBytes = 64U << 10U;
 constexpr std::uint64_t kTicksPerPeriod = kPollPeriod / kTickPeriod;
 constexpr std::string_view kEngineKind = "engine";
 constexpr int kHttpStatusOk = 200;
@@ -59,7 +60,8 @@
   HttpClientRequest request{.address = backend.address,
                             .path = "/load",
                             .connect_timeout = kReportTimeout,
-                            .idle_timeout = kReportTimeout};
+                            .idle_timeout = kReportTimeout,
+                            .max_body_bytes = kMaxReportBytes};
   m_http.Fetch(std::move(request), [this, next, id = backend.id, weak = std::weak_ptr(m_alive)](
                                        const Result<HttpResponse>& result) {
     if (weak.expired()) return;
--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -221,6 +221,59 @@
   BOOST_TEST(CountReleases(ReleaseReason::kNotUsed) == 1);
 }
 
+// Guards against a faulty backend server whose answer without end fills the memory or drives out
+// the answers of other requests.
+BOOST_FIXTURE_TEST_CASE(EndlessAnswerEndsItsRequestOnly, Fixture) {
+  const auto sound = MakeId("sound");
+  const auto faulty = MakeId("faulty");
+  Submit(sound);
+  SendGrant(sound);
+  g_runs[0].listener->OnStarted("stream");
+  g_runs[0].listener->OnData("answer");
+  g_runs[0].listener->OnEnd({});
+  const auto sink = Submit(faulty);
+  SendGrant(faulty, 2);
+  RunListener& listener = *g_runs[1].listener;
+  listener.OnStarted("stream");
+  const std::string chunk(1U << 20U, 'x');
+  int chunks = 0;
+  while (!sink->end && chunks < 64) {
+    listener.OnData(chunk);
+    ++chunks;
+  }
+  BOOST_REQUIRE(sink->end.has_value());
+  BOOST_TEST((ErrorKindOf(*sink) == ErrorKind::kBackendLost));
+  BOOST_TEST(chunks <= 17);
+  BOOST_TEST(CountReleases(ReleaseReason::kUnreachable) == 1);
+  BOOST_TEST(Submit(sound)->answer == "answer");
+}
+
+// Guards against answers that together take more memory than the limit while their runs go on and
+// their readers do not read.
+BOOST_FIXTURE_TEST_CASE(RunningAnswersShareTheMemory, Fixture) {
+  struct SlowSink : FakeSink {
+    bool IsReady() const override { return false; }
+  };
+  const std::string chunk(1U << 20U, 'x');
+  const std::size_t count = 40;
+  std::vector<std::shared_ptr<SlowSink>> sinks;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto id = MakeId("n" + std::to_string(i));
+    Submit(id);
+    sinks.push_back(std::make_shared<SlowSink>());
+    home.Fetch(id, 0, sinks.back());
+    SendGrant(id, i + 1);
+    g_runs[i].listener->OnStarted("stream");
+  }
+  // 40 answers of 10 MB; the limit is 256 MB.
+  for (int n = 0; n < 10; ++n)
+    for (std::size_t i = 0; i < count; ++i) g_runs[i].listener->OnData(chunk);
+  const auto ended = std::count_if(sinks.begin(), sinks.end(),
+                                   [](const auto& sink) { return sink->end.has_value(); });
+  BOOST_TEST(ended >= 14);
+  BOOST_TEST(ended < 40);
+}
+
 // Guards against a second dispatch when a request gets two grants. Two instances may own its cell
 // for a moment, and each may grant.
 BOOST_FIXTURE_TEST_CASE(SecondGrantIsReturned, Fixture) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -3,6 +3,7 @@
 #include "kernel/http-client.h"
 #include "kernel/http-server.h"
 #include "kernel/loop.h"
+#include "raw-server.h"
 
 namespace bluebellpass {
 namespace {
@@ -134,4 +135,58 @@
   BOOST_TEST(!open->IsOpen());
 }
 
+// Guards against a server that sends a head or a body without end into the memory of its caller.
+BOOST_FIXTURE_TEST_CASE(EndlessResponseEndsTheCall, Fixture) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::pair<std::string, std::string> responses[] = {
+      {head + "X-Field: ", "x"},
+      {head, "a:b\r\n"},
+      {head + "\r\n", "x"},
+      {head + "Content-Length: 9999999999\r\n\r\n", "x"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n77777777\r\n", "x"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n4;name=", "x"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a:b\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "x"}};
+  constexpr std::size_t kMaxSentBytes = 64U << 20U;
+  for (const auto& [start, pattern] : responses) {
+    BOOST_TEST_CONTEXT(start << pattern) {
+      RawServer raw(loop);
+      std::string chunk;
+      while (chunk.size() < kMaxFetchedBytes / 64) chunk += pattern;
+      std::optional<Result<HttpResponse>> response;
+      client.Fetch({.address = raw.address},
+                   [&](Result<HttpResponse> result) { response = std::move(result); });
+      std::size_t sent = 0;
+      const bool has_ended = RunUntil([&] {
+        if (response || sent >= kMaxSentBytes) return true;
+        if (raw.streams.empty() || raw.received[0].empty() || raw.streams[0]->PendingBytes() > 0)
+          return false;
+        raw.streams[0]->Write(sent == 0 ? start + chunk : chunk);
+        sent += chunk.size();
+        return false;
+      });
+      BOOST_TEST(has_ended);
+      BOOST_REQUIRE(response.has_value());
+      BOOST_REQUIRE(!IsOk(*response));
+      BOOST_TEST((ErrorOf(*response).kind == ErrorKind::kStoreUncertain));
+    }
+  }
+}
+
+// Guards against interim responses that are taken for the answer.
+BOOST_FIXTURE_TEST_CASE(InterimResponseIsSkipped, Fixture) {
+  RawServer raw(loop);
+  std::optional<Result<HttpResponse>> response;
+  client.Fetch({.address = raw.address},
+               [&](Result<HttpResponse> result) { response = std::move(result); });
+  BOOST_REQUIRE(RunUntil([&] { return !raw.received.empty() && !raw.received[0].empty(); }));
+  raw.streams[0]->Write(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_REQUIRE(RunUntil([&] { return response.has_value(); }));
+  BOOST_TEST(std::get<HttpResponse>(*response).status == 201);
+  BOOST_TEST(std::get<HttpResponse>(*response).headers["x-a"] == "1");
+  BOOST_TEST(std::get<HttpResponse>(*response).body == "ok");
+}
+
 }  // namespace bluebellpass
--- a/test/submission-fuzz-test.cc
+++ b/test/submission-fuzz-test.cc
@@ -186,4 +186,16 @@
   }
 }
 
+// Guards against an event without end, of one line or of many, that fills the memory.
+BOOST_AUTO_TEST_CASE(EndlessEventIsRefused) {
+  for (const std::string line : {"x", "data: x\n"}) {
+    std::string chunk;
+    while (chunk.size() < 64U << 10U) chunk += line;
+    SseParser parser([](const std::string&) {});
+    std::size_t fed = 0;
+    while (fed < 64U << 20U && parser.Feed(chunk)) fed += chunk.size();
+    BOOST_TEST(fed < 32U << 20U, line);
+  }
+}
+
 }  // namespace bluebellpass
