Keep the account of responses until the event loop is destroyed

cause: found by reading. Connections that wait in the event loop for their destruction release their bytes from the account, which was destroyed before the loop. Besides, the linter's findings in the new code.

change: the account is declared before the loop; names and a captured binding in two tests follow the linter.

before and after: support/lint: 3 findings before, clean now; gateway-stop-test, gateway-response-test, gateway-endpoint-test, http-test and platform-test pass. No test showed the fault; it needs an exit with a connection in that state.

conclusion: the order of the members is stated where it matters.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -123,9 +123,9 @@
     : m_platform(std::move(platform)),
       m_settings(std::move(settings)),
       m_incarnation(MakeIncarnation()),
+      m_response_memory(m_settings.max_response_memory),
       m_log_writer(std::make_shared<LogWriter>(STDOUT_FILENO)),
       m_routing_state(m_clock, MakeStalenessBounds(m_settings)),
-      m_response_memory(m_settings.max_response_memory),
       m_store_client(m_platform.make_store_client(m_loop, m_settings, m_response_memory)),
       m_fleet(m_loop, MakeFleetOptions(m_settings, m_incarnation), m_coordinator,
               {[this](const InstanceId& id, std::uint64_t registration_revision) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,11 +86,13 @@
   Settings m_settings;
   Incarnation m_incarnation;
   SystemBootClock m_clock;
+  /// Bytes of responses that are not passed on yet. Connections that are destroyed with the event
+  /// loop refer to it.
+  MemoryAccount m_response_memory;
   EventLoop m_loop;
   std::shared_ptr<LogWriter> m_log_writer;
   Metrics m_metrics;
   RoutingState m_routing_state;
-  MemoryAccount m_response_memory;  ///< bytes of responses that are not passed on yet
   std::unique_ptr<StoreClient> m_store_client;
   std::unique_ptr<ObjectWatch> m_config_watch;
   std::unique_ptr<ObjectWatch> m_backend_watch;
--- a/src/gateway/request-content.cc
+++ b/src/gateway/request-content.cc
@@ -10,10 +10,10 @@
 constexpr std::string_view kPathLabel = "path";
 
 Fingerprint Hash(std::initializer_list<std::string_view> parts) {
-  constexpr std::string_view kSeparator("\0", 1);
+  constexpr std::string_view separator("\0", 1);
   std::uint64_t hash = StableHash("");
   // Without a separator, the end of a part could be taken for the start of the next.
-  for (const std::string_view part : parts) hash = StableHash(kSeparator, StableHash(part, hash));
+  for (const std::string_view part : parts) hash = StableHash(separator, StableHash(part, hash));
   return Fingerprint(hash);
 }
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kMaxIterations = 2000;
+// A server has sent this much to a caller that keeps everything.
+constexpr std::size_t kMaxSentBytes = 64U << 20U;
 
 /// A server with a replaceable handler, and a client on the same loop.
 struct Fixture {
@@ -148,8 +150,9 @@
       {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a:b\r\n"},
       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
       {"", "x"}};
-  constexpr std::size_t kMaxSentBytes = 64U << 20U;
-  for (const auto& [start, pattern] : responses) {
+  for (const auto& response_parts : responses) {
+    const std::string& start = response_parts.first;
+    const std::string& pattern = response_parts.second;
     BOOST_TEST_CONTEXT(start << pattern) {
       RawServer raw(loop);
       std::string chunk;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -360,13 +360,13 @@
   });
   MemoryAccount account(1U << 20U);
   PlatformStore store(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})), &account);
-  constexpr std::size_t kMaxSentBytes = 64U << 20U;
+  const std::size_t max_sent_bytes = 64U << 20U;
   const auto play = [&](const std::function<void()>& call, const auto& has_ended) {
     exchange = nullptr;
     call();
     std::size_t sent = 0;
     std::size_t most_held = 0;
-    while (!has_ended() && sent < kMaxSentBytes) {
+    while (!has_ended() && sent < max_sent_bytes) {
       loop.RunOnce(Millis{1});
       most_held = std::max(most_held, account.Used());
       if (!exchange || exchange->PendingBytes() > 0) continue;
