Do not confirm a revision while a later change is in the view

An instance applies a relayed change up to 0.3 s before it counts its revision as seen. If it becomes the coordinator in between, an instance that has just come is confirmed the earlier revision, suspends its watch and is then taken past the change.

ruled out: nothing else was found by reading by which an outdated instance takes itself for current.

change: an instance whose view has a change after the revision it has seen answers probes with revision 0, as one without a first list does.

before and after: gateway-relay-test, ChangeBeforeItsRevisionIsNotPassedOver: 4 failures before, none now; gateway-knowledge-test passes.

conclusion: a revision stands for changes that have arrived.

--- a/src/gateway/object-watch.cc
+++ b/src/gateway/object-watch.cc
@@ -105,6 +105,7 @@
     } else {
       m_revisions[object.name] = object.revision;
     }
+    m_newest_change = std::max(m_newest_change, object.revision);
     m_events.on_object(object);
   }
 }
--- a/src/gateway/object-watch.h
+++ b/src/gateway/object-watch.h
@@ -70,6 +70,9 @@
   bool HasInitialList() const { return m_revision != Revision{}; }
   /// @return the revision up to which all changes are in the view
   Revision SeenRevision() const { return m_revision; }
+  /// @return true if the view has a change after SeenRevision, so that others may still be missing.
+  /// An instance that learns only of later changes would miss that one.
+  bool HasUnseenChange() const { return m_newest_change > m_revision; }
   /// @return time at which the view was last confirmed as current
   BootTime ConfirmedAt() const { return m_confirmed_at; }
 
@@ -91,6 +94,7 @@
   Events m_events;
   Timer m_timer;
   Revision m_revision;
+  Revision m_newest_change;
   std::map<std::string, Revision> m_revisions;  ///< revision of each object
   std::set<std::string> m_listed_names;
   std::string m_list_after;  ///< where a failed list continues
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -31,6 +31,12 @@
 constexpr Millis kCoordinatorCoalesceDelay{60};
 constexpr Millis kFollowerCoalesceDelay{350};
 
+/// @return the revision on which a follower may rely, or 0 if it must not rely on this instance. A
+/// change whose revision is still to be seen was announced before the follower may have come.
+Revision ConfirmedRevision(const ObjectWatch& watch) {
+  return watch.HasUnseenChange() ? Revision{} : watch.SeenRevision();
+}
+
 }  // namespace
 
 ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends)
@@ -69,9 +75,9 @@
   const BootTime now = m_clock.Now();
   ConfirmMessage confirm;
   confirm.probe_sent_ns = probe.sent_ns;
-  confirm.config_revision = m_config.watch->SeenRevision().Value();
+  confirm.config_revision = ConfirmedRevision(*m_config.watch).Value();
   confirm.config_age = now - m_config.watch->ConfirmedAt();
-  confirm.backends_revision = m_backends.watch->SeenRevision().Value();
+  confirm.backends_revision = ConfirmedRevision(*m_backends.watch).Value();
   confirm.backends_age = now - m_backends.watch->ConfirmedAt();
   return confirm;
 }
@@ -130,8 +136,9 @@
 }
 
 void ObjectRelay::ConfirmChannel(Channel& channel, Revision revision, BootTime at) {
-  // Revision 0 means that the coordinator has no first list yet. It does not announce the objects
-  // of that list, so this instance must not rely on it before.
+  // Revision 0 means that this instance must not rely on the coordinator, which has no first list
+  // yet and does not announce the objects of that list, or has a change whose revision it has not
+  // seen.
   if (!m_has_remote_coordinator || revision == Revision{}) return;
   if (!channel.required_revision) channel.required_revision = revision;
   if (IsCaughtUp(channel)) channel.watch->Confirm(revision, at);
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -112,6 +112,26 @@
   BOOST_TEST(follower.config.IsSuspended());
 }
 
+// Guards against a change that never reaches a follower: its coordinator has applied it, as relayed
+// by the coordinator before, but has not seen its revision, and announced it before the follower
+// came.
+BOOST_FIXTURE_TEST_CASE(ChangeBeforeItsRevisionIsNotPassedOver, Fixture) {
+  coordinator.config.ApplyRelayed(MakeConfig(15));
+  coordinator.relay.OnCoordinatorChanged(false);
+  follower.relay.OnCoordinatorChanged(true);
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(!follower.config.IsSuspended());
+  coordinator.config.Confirm(Revision(15), clock.Now());
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(!follower.config.IsSuspended());
+  BOOST_TEST((follower.config.SeenRevision() == Revision(10)));
+  follower.config_timers.AdvanceToNextTimer();
+  follower.AnswerConfig(ObjectPage{{MakeConfig(15)}, false, Revision(15)});
+  BOOST_TEST(follower.revisions["main"] == 15U);
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(follower.config.IsSuspended());
+}
+
 // Guards against a confirmation that appears younger than it is because its frame was delayed: when
 // it arrives, the configuration may have been replaced.
 BOOST_FIXTURE_TEST_CASE(DelayedConfirmationIsNotFresh, Fixture) {
