Ignore what a run of serve delivers after its request has ended

cause: found by reading. A request that ends because its answer takes too much memory may still get what its run had received. The bytes were added to the freed answer and counted for good, and an end released the grant a second time.

change: the listener of a run looks for a request that is dispatched.

before and after: home-test EndlessAnswerEndsItsRequestOnly, extended by data and an end after the end: 2 releases as completed before (failed), 1 now; home-test passes.

conclusion: an ended request takes nothing from its run.

--- a/src/home/home-dispatch.cc
+++ b/src/home/home-dispatch.cc
@@ -414,20 +414,25 @@
   }
 }
 
+HomeTask::Request* HomeTask::Listener::FindRunning() const {
+  Request* request = m_home.FindRequest(m_id);
+  return request != nullptr && request->phase == Phase::kDispatched ? request : nullptr;
+}
+
 void HomeTask::Listener::OnStarted(const std::string& stream_id) {
-  if (Request* request = m_home.FindRequest(m_id)) m_home.OnRunStarted(*request, stream_id);
+  if (Request* request = FindRunning()) m_home.OnRunStarted(*request, stream_id);
 }
 
 void HomeTask::Listener::OnData(std::string_view bytes) {
-  if (Request* request = m_home.FindRequest(m_id)) m_home.OnRunData(*request, bytes);
+  if (Request* request = FindRunning()) m_home.OnRunData(*request, bytes);
 }
 
 void HomeTask::Listener::OnEnd(const RunUsage& usage) {
-  if (Request* request = m_home.FindRequest(m_id)) m_home.OnRunEnd(*request, usage);
+  if (Request* request = FindRunning()) m_home.OnRunEnd(*request, usage);
 }
 
 void HomeTask::Listener::OnFailure(RunFailure failure, const std::string& message) {
-  if (Request* request = m_home.FindRequest(m_id)) m_home.OnRunFailure(*request, failure, message);
+  if (Request* request = FindRunning()) m_home.OnRunFailure(*request, failure, message);
 }
 
 }  // namespace bluebellpass
--- a/src/home/home-request.h
+++ b/src/home/home-request.h
@@ -26,6 +26,9 @@
   void OnFailure(RunFailure failure, const std::string& message) override;
 
  private:
+  /// @return the request, or null if it has ended; its run may still have events to deliver
+  Request* FindRunning() const;
+
   HomeTask& m_home;
   RequestId m_id;
 };
--- a/test/home-test.cc
+++ b/test/home-test.cc
@@ -245,6 +245,10 @@
   BOOST_TEST((ErrorKindOf(*sink) == ErrorKind::kBackendLost));
   BOOST_TEST(chunks <= 17);
   BOOST_TEST(CountReleases(ReleaseReason::kUnreachable) == 1);
+  // What the run had received before it was stopped.
+  listener.OnData(chunk);
+  listener.OnEnd({});
+  BOOST_TEST(CountReleases(ReleaseReason::kCompleted) == 1);
   BOOST_TEST(Submit(sound)->answer == "answer");
 }
 
