Group the gateway's sources by responsibility

cause: src/gateway held 53 files in one folder, so that neither the tree nor the includes showed which code decides, which links instances, which mirrors the store and which serves a request. Parts that come next need folders beside these.

what was ruled out: making the FlatBuffers header in the build. The users ask for generated code to be committed, so that a deployment needs no generator.

change: moves only. decisions/ (pure code), fleet/ (members, links, messages), state/ (from the store), call/ (path of a request); what assembles them stays in src/gateway. Types that platform/ uses too are public headers in include/bluebellpass/gateway.

conclusion: no behaviour changes.

--- a/bench/decision-main.cc
+++ b/bench/decision-main.cc
@@ -1,6 +1,6 @@
 #include <cstdio>
 
-#include "gateway/scheduler.h"
+#include "gateway/decisions/scheduler.h"
 
 /// Measures how long a coordinator's decision takes, by backend servers and waiting requests. Not a
 /// test.
--- a/src/gateway/call.h
+++ b/src/gateway/call/call.h
@@ -6,18 +6,18 @@
 #include <set>
 #include <string>
 
-#include "backend-notices.h"
 #include "bluebellpass/timer.h"
-#include "dispatcher.h"
 #include "event-splitter.h"
 #include "gap-sample.h"
+#include "gateway/decisions/quota.h"
+#include "gateway/fleet/dispatcher.h"
+#include "gateway/protocol.h"
+#include "gateway/state/backend-notices.h"
+#include "gateway/state/routing-state.h"
 #include "kernel/http1-pool.h"
 #include "kernel/http1-server.h"
 #include "kernel/memory-account.h"
 #include "kernel/metrics.h"
-#include "protocol.h"
-#include "quota.h"
-#include "routing-state.h"
 
 namespace bluebellpass {
 class EventLoop;
--- a/src/gateway/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "crash-records.h"
+#include "gateway/state/routing.h"
 #include "quota.h"
-#include "routing.h"
 #include "scheduler.h"
 
 namespace bluebellpass::gateway {
--- a/src/gateway/crash-records.h
+++ b/src/gateway/decisions/crash-records.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bluebellpass/gateway/model.h"
 #include "bluebellpass/types.h"
-#include "model.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/quota.h
+++ b/src/gateway/decisions/quota.h
@@ -4,8 +4,8 @@
 #include <map>
 #include <optional>
 
+#include "bluebellpass/gateway/model.h"
 #include "bluebellpass/types.h"
-#include "model.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -11,10 +11,10 @@
 #include <tuple>
 #include <vector>
 
+#include "bluebellpass/gateway/model.h"
 #include "bluebellpass/types.h"
 #include "crash-records.h"
 #include "failure-rate.h"
-#include "model.h"
 #include "size-balance.h"
 #include "speed-model.h"
 
--- a/src/gateway/decision-log.h
+++ b/src/gateway/fleet/decision-log.h
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "scheduler.h"
+#include "gateway/decisions/scheduler.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/fleet/dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "model.h"
-#include "scheduler.h"
+#include "bluebellpass/gateway/model.h"
+#include "gateway/decisions/scheduler.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "bluebellpass/error.h"
-#include "coordinator.h"
-#include "store-client.h"
+#include "bluebellpass/gateway/store-client.h"
+#include "gateway/decisions/coordinator.h"
 
 /// Messages between gateway instances and their encoding (fleet.fbs).
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "bluebellpass/timer.h"
-#include "coordinator.h"
 #include "decision-log.h"
-#include "decision-pace.h"
 #include "dispatcher.h"
 #include "fleet-codec.h"
+#include "gateway/decisions/coordinator.h"
+#include "gateway/decisions/decision-pace.h"
 #include "peer/link.h"
 #include "relay.h"
 
--- a/src/gateway/relay.h
+++ b/src/gateway/fleet/relay.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "boot-clock.h"
 #include "fleet-codec.h"
-#include "object-watch.h"
+#include "gateway/state/boot-clock.h"
+#include "gateway/state/object-watch.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "bluebellpass/error.h"
+#include "bluebellpass/gateway/model.h"
 #include "kernel/http1.h"
-#include "model.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/backend-notices.h
+++ b/src/gateway/state/backend-notices.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <set>
 
-#include "model.h"
+#include "bluebellpass/gateway/model.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
+#include "bluebellpass/gateway/store-client.h"
 #include "bluebellpass/timer.h"
 #include "boot-clock.h"
-#include "store-client.h"
 
 namespace bluebellpass::gateway {
 
--- a/src/gateway/routing-state.h
+++ b/src/gateway/state/routing-state.h
@@ -6,8 +6,8 @@
 #include <optional>
 #include <vector>
 
+#include "bluebellpass/gateway/model.h"
 #include "boot-clock.h"
-#include "model.h"
 #include "routing.h"
 
 namespace bluebellpass::gateway {
--- a/src/gateway/routing.h
+++ b/src/gateway/state/routing.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "model.h"
+#include "bluebellpass/gateway/model.h"
 
 namespace bluebellpass::gateway {
 
--- a/test/event-splitter-test.cc
+++ b/test/event-splitter-test.cc
@@ -1,4 +1,4 @@
-#include "gateway/event-splitter.h"
+#include "gateway/call/event-splitter.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
--- a/test/gateway-address-list-test.cc
+++ b/test/gateway-address-list-test.cc
@@ -2,7 +2,7 @@
 #include <map>
 #include <set>
 
-#include "gateway/address-list.h"
+#include "gateway/fleet/address-list.h"
 
 /// The addresses that the directories of a fleet name to callers.
 
--- a/test/gateway-crash-test.cc
+++ b/test/gateway-crash-test.cc
@@ -2,7 +2,7 @@
 #include <deque>
 #include <random>
 
-#include "gateway/coordinator.h"
+#include "gateway/decisions/coordinator.h"
 
 /// Requests that crash the engines that begin to run them.
 
--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -3,8 +3,8 @@
 
 #include "fakes.h"
 #include "gateway-fakes.h"
-#include "gateway/decision-pace.h"
-#include "gateway/fleet.h"
+#include "gateway/decisions/decision-pace.h"
+#include "gateway/fleet/fleet.h"
 #include "kernel/loop.h"
 #include "raw-server.h"
 
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/boot-clock.h"
-#include "gateway/store-client.h"
+#include "bluebellpass/gateway/store-client.h"
+#include "gateway/state/boot-clock.h"
 
 /// Fakes of the gateway's clock and store client that tests control.
 
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
-#include "gateway/fleet-codec.h"
+#include "gateway/fleet/fleet-codec.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/gateway-knowledge-test.cc
+++ b/test/gateway-knowledge-test.cc
@@ -3,8 +3,8 @@
 
 #include "fakes.h"
 #include "gateway-fakes.h"
-#include "gateway/object-watch.h"
-#include "gateway/routing-state.h"
+#include "gateway/state/object-watch.h"
+#include "gateway/state/routing-state.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/gateway-quota-test.cc
+++ b/test/gateway-quota-test.cc
@@ -2,8 +2,8 @@
 #include <deque>
 #include <random>
 
-#include "gateway/coordinator.h"
-#include "gateway/quota.h"
+#include "gateway/decisions/coordinator.h"
+#include "gateway/decisions/quota.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -3,7 +3,7 @@
 
 #include "fakes.h"
 #include "gateway-fakes.h"
-#include "gateway/relay.h"
+#include "gateway/fleet/relay.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
-#include "gateway/coordinator.h"
+#include "gateway/decisions/coordinator.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/gateway-size-balance-test.cc
+++ b/test/gateway-size-balance-test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/size-balance.h"
+#include "gateway/decisions/size-balance.h"
 
 namespace bluebellpass::gateway {
 namespace {
--- a/test/request-content-test.cc
+++ b/test/request-content-test.cc
@@ -1,4 +1,4 @@
-#include "gateway/request-content.h"
+#include "gateway/call/request-content.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
--- a/test/standins/load-play.h
+++ b/test/standins/load-play.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "engine-model.h"
-#include "gateway/scheduler.h"
+#include "gateway/decisions/scheduler.h"
 
 namespace bluebellpass::test {
 
