--- a/include/bluebellpass/gateway/model.h
+++ b/include/bluebellpass/gateway/model.h
@@ -19,6 +19,9 @@
 /// Version of a configuration; newer configurations have higher versions.
 using ConfigVersion = StrongNumber<struct ConfigVersionTag, std::uint64_t>;
 
+/// Version of the software of a backend server.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
+
 /// A service and its share of a route's requests.
 struct RouteTarget {
   ServiceName service;
@@ -107,6 +110,9 @@
   ServiceName service;
   Address address;
   DataCentre data_centre;
+  SoftwareVersion version;
+  /// Revision of the store at the last change of the entry; 0 if unknown.
+  std::uint64_t revision = 0;
   int slots = 0;
   bool is_draining = false;
   Millis warmup_remaining{0};  ///< time until its warm-up ends, at the time of its report
--- a/include/bluebellpass/gateway/store-client.h
+++ b/include/bluebellpass/gateway/store-client.h
@@ -16,14 +16,16 @@
 using Revision = StrongNumber<struct RevisionTag, std::uint64_t>;
 
 /// Kinds of objects that the gateway reads or writes.
-enum class ObjectKind : std::uint8_t { kConfig, kBackends, kInstances, kFleet };
+enum class ObjectKind : std::uint8_t { kConfig, kBackends, kInstances, kFleet, kRollouts };
 
 /// An object, or the notice of its deletion.
 struct StoredObject {
   std::string name;
   Revision revision;
   bool is_deleted = false;
-  std::shared_ptr<const nlohmann::json> spec;  ///< null when it could not be read
+  std::shared_ptr<const nlohmann::json> spec;    ///< null when it could not be read
+  std::shared_ptr<const nlohmann::json> status;  ///< null when there is none
+  std::uint64_t created = 0;  ///< as stated by the store; an object that is created again differs
 };
 
 /// A page of a list, or the changes since a revision.
@@ -63,6 +65,10 @@
   /// Creates or replaces an object unconditionally.
   virtual void Put(ObjectKind kind, const std::string& name, const nlohmann::json& spec,
                    std::function<void(Result<Revision>)> done) = 0;
+  /// Replaces the status of an object if its revision is still the expected one.
+  virtual void PutStatus(ObjectKind kind, const std::string& name, Revision expected,
+                         const nlohmann::json& status,
+                         std::function<void(Result<Revision>)> done) = 0;
   /// Deletes an object if its revision is still the expected one.
   virtual void Delete(ObjectKind kind, const std::string& name, Revision expected,
                       std::function<void(Result<Ok>)> done) = 0;
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -43,6 +43,8 @@
               std::function<void(Result<Revision>)>) override {}
   void Put(ObjectKind, const std::string&, const nlohmann::json&,
            std::function<void(Result<Revision>)>) override {}
+  void PutStatus(ObjectKind, const std::string&, Revision, const nlohmann::json&,
+                 std::function<void(Result<Revision>)>) override {}
   void Delete(ObjectKind, const std::string&, Revision, std::function<void(Result<Ok>)>) override {}
 
   void AnswerLastCall(Result<ObjectPage> result) {
