--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -86,6 +86,9 @@
   kLoadBySize = 616,
   kBackendCrashed = 617,
   kMemoryReleased = 618,
+  kRolloutChanged = 619,
+  kRolloutStatusWritten = 620,
+  kRolloutRejected = 621,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/include/bluebellpass/gateway/rollout.h
+++ b/include/bluebellpass/gateway/rollout.h
@@ -23,6 +23,13 @@
   bool operator==(const RolloutOrder&) const = default;
 };
 
+/// The deployment's bounds on an unproven version.
+struct RolloutBounds {
+  /// Fraction of a service's requests that may run at an unproven version.
+  double exposure_ratio = 0;
+  double exposure_slack = 0;  ///< number of requests allowed in addition
+};
+
 enum class RolloutState : std::uint8_t {
   kRunning,
   kDone,      ///< all traffic runs at the target; the old backend servers stop
--- a/include/bluebellpass/gateway/settings.h
+++ b/include/bluebellpass/gateway/settings.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "bluebellpass/error.h"
+#include "bluebellpass/gateway/rollout.h"
 #include "bluebellpass/types.h"
 
 namespace bluebellpass::gateway {
@@ -38,6 +40,8 @@
   Millis quota_window{8'000};
   double quota_excess_ratio = 0;  ///< fraction by which a window may exceed an organisation's quota
   double quota_slack = 0;         ///< amount by which it may exceed the quota in addition
+  /// Bounds on unproven versions; absent if the deployment has no roll-outs.
+  std::optional<RolloutBounds> rollout_bounds;
 };
 
 /// Reads the current settings.
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -174,7 +174,12 @@
   // The request may have been queued before the backend server asked for no more.
   const bool is_held = backend != nullptr &&
                        !m_context.backend_notices.MaySendTo(backend->Start(), m_context.loop.Now());
-  if (backend == nullptr || backend->is_draining || backend->service != m_service || is_held) {
+  // The version may have been judged since the decision.
+  const bool is_excluded =
+      backend != nullptr &&
+      m_context.rollouts.UseOf(*backend, m_context.loop.Now()) == VersionUse::kExcluded;
+  if (backend == nullptr || backend->is_draining || backend->service != m_service || is_held ||
+      is_excluded) {
     ReleaseRun(RunOutcome::kNotRun);
     m_excluded_backends.insert(id);
     TryResubmit(false);
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -12,6 +12,7 @@
 #include "gateway/decisions/quota.h"
 #include "gateway/fleet/dispatcher.h"
 #include "gateway/protocol.h"
+#include "gateway/rollout/rollout-controller.h"
 #include "gateway/state/backend-notices.h"
 #include "gateway/state/routing-state.h"
 #include "kernel/http1-pool.h"
@@ -40,6 +41,7 @@
   BackendNotices& backend_notices;
   Metrics& metrics;
   MemoryAccount& response_memory;
+  const RolloutController& rollouts;
 };
 
 /// Proxies one attempt of a caller: resolves its route, queues it for a backend server, sends it
--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -118,6 +118,8 @@
   std::optional<TimePoint> next = m_scheduler.NextDecision();
   for (const DelayedRequest& delayed : m_delayed)
     if (!next || delayed.ready_at < *next) next = delayed.ready_at;
+  if (const auto rollout = m_rollouts.NextDecision(); rollout && (!next || *rollout < *next))
+    next = rollout;
   return next;
 }
 
@@ -175,7 +177,16 @@
   }
 }
 
+void Coordinator::DecideRollouts(TimePoint now) {
+  if (!m_rollouts.IsEnabled()) return;
+  for (const RolloutOrder& order : m_rollouts.RunningOrders())
+    m_rollouts.SetOldRuns(order.service,
+                          m_scheduler.RunsAtOtherVersions(order.service, order.target));
+  m_rollouts.Decide(now);
+}
+
 Decisions Coordinator::Decide(TimePoint now) {
+  DecideRollouts(now);
   m_crash_records.RemoveExpired(now);
   CrashUpdate crashes = m_crash_records.TakeChanges();
   if (!crashes.records.empty()) RefuseQuarantined();
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -25,9 +25,17 @@
 /// rebuilds it from the reports of the instances.
 class Coordinator : private AdmissionControl {
  public:
+  Coordinator() { m_scheduler.SetRollouts(&m_rollouts); }
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
   Scheduler& RequestScheduler() { return m_scheduler; }
   const Scheduler& RequestScheduler() const { return m_scheduler; }
 
+  /// The roll-outs, which every instance knows; only the coordinator conducts them.
+  RolloutController& Rollouts() { return m_rollouts; }
+  const RolloutController& Rollouts() const { return m_rollouts; }
+
   void SetRoutingTable(std::shared_ptr<const RoutingTable> table) { m_table = std::move(table); }
   /// Sets this coordinator's share of slots and quotas when several divide the fleet.
   /// @param index position of this coordinator among them
@@ -80,8 +88,10 @@
   void Enqueue(RequestInfo request);
   void ReleaseReservation(const RequestInfo& request);
   void EnqueueDelayed(TimePoint now);
+  void DecideRollouts(TimePoint now);
 
   std::shared_ptr<const RoutingTable> m_table;
+  RolloutController m_rollouts;
   Scheduler m_scheduler;
   QuotaLimiter m_quota;
   CrashRecords m_crash_records;
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -15,6 +15,7 @@
 #include "bluebellpass/types.h"
 #include "crash-records.h"
 #include "failure-rate.h"
+#include "gateway/rollout/rollout-controller.h"
 #include "size-balance.h"
 #include "speed-model.h"
 
@@ -162,6 +163,8 @@
 ///   above the capacity.
 class Scheduler {
  public:
+  /// Sets the roll-outs that restrict which versions of backend servers may be used; may be null.
+  void SetRollouts(RolloutController* rollouts) { m_rollouts = rollouts; }
   /// Sets the share of each backend server's slots that this scheduler may grant.
   /// @param index position of this scheduler among those that share the slots
   /// @param count number of schedulers that share the slots
@@ -215,6 +218,8 @@
   std::vector<SizeGroupResults> ResultsBySize() const;
   /// @return number of runs that occupy slots of a backend server
   int RunningOn(const BackendId& id) const;
+  /// @return number of runs of a service at backend servers of other versions than this one
+  std::size_t RunsAtOtherVersions(const ServiceName& service, const SoftwareVersion& version) const;
 
  private:
   struct TrackedBackend {
@@ -223,6 +228,7 @@
     bool is_engine = false;
     std::int64_t kv_cache_tokens = 0;
     int running = 0;
+    std::uint64_t probes = 0;          ///< requests granted to an unproven version
     int prefilling = 0;                ///< runs without an event so far
     std::int64_t prefill_tokens = 0;   ///< prompt tokens of those runs
     std::int64_t reserved_tokens = 0;  ///< KV cache reserved for all runs
@@ -238,6 +244,7 @@
     bool is_prefilling = true;
     std::int64_t prefill_tokens_at_start = 0;  ///< of its backend server, with its own prompt
     TimePoint started;
+    bool is_under_load = false;      ///< at the start more than half of the slots were taken
     bool is_stalled = false;         ///< counted as failed, since no event came for long
     SizeBalance* balance = nullptr;  ///< null for a run that another scheduler granted
     SizeGroup size = SizeGroup::kSmall;
@@ -266,6 +273,8 @@
   /// Capacity of a service's backend servers at one decision.
   struct Capacity {
     std::vector<OpenBackend> open;  ///< with free slots, by id
+    /// The same of an unproven version, whose slots are not counted below.
+    std::vector<OpenBackend> probes;
     bool has_backends = false;
     int free_slots = 0;
     int slots = 0;
@@ -299,8 +308,42 @@
   static void BoostUnderserved(std::vector<RankedRequest>& ranked);
   /// @return true when the request's prefill keeps the event gaps of running streams in bounds
   bool KeepsEventGaps(const TrackedBackend& state, const RequestInfo& request) const;
+  /// Bounds on the time that a request may take at a backend server.
+  struct TimeBounds {
+    double first_event_ms = 0;
+    double total_ms = 0;
+  };
+  TimeBounds BoundsOf(const RequestInfo& request, const Capacity& capacity, bool is_late,
+                      TimePoint now) const;
+  /// @return the cost of a backend server for the request, lowest for the best one, or nullopt if
+  /// it cannot take the request
+  std::optional<double> CostAt(const OpenBackend& open, const RequestInfo& request,
+                               const Capacity& capacity, const TimeBounds& bounds,
+                               TimePoint now) const;
   const OpenBackend* ChooseBackend(const RequestInfo& request, const Capacity& capacity,
                                    bool is_late, TimePoint now) const;
+  /// @return a backend server of an unproven version that can take the request, or null
+  const OpenBackend* ChooseProbe(const RequestInfo& request, const Capacity& capacity, bool is_late,
+                                 TimePoint now) const;
+  /// @return expected time in a slot, on the fastest backend server
+  double SlotTimeOf(const WaitingRequest& waiting, const Capacity& capacity) const;
+  /// @return expected time from the grant to the first event, or for a plain service to the
+  /// response
+  static double ResponseTimeMs(const RequestInfo& request, const Capacity& capacity);
+  /// Expected wait of a request that gets no slot now, and the longest one that makes sense.
+  struct WaitPrediction {
+    double wait_ms = 0;
+    double max_wait_ms = 0;
+  };
+  WaitPrediction PredictWait(const RankedRequest& ranked, double work_ahead_ms,
+                             const Capacity& capacity, TimePoint now) const;
+  /// @param is_probe set if the backend server runs an unproven version
+  /// @return the backend server that a request should be granted, or null
+  const OpenBackend* ChooseForGrant(const RankedRequest& ranked, const Capacity& capacity,
+                                    TimePoint now, bool& is_probe);
+  /// @return false when no backend server can take the request
+  bool TryGrant(const RankedRequest& ranked, std::size_t queue_size, Capacity& capacity,
+                TimePoint now, AdmissionControl& admission, Decisions& decisions);
   void StartRun(const RequestInfo& request, TrackedBackend& state, TimePoint now);
   /// Removes a request that neither waits nor runs any more from the index by home.
   void Forget(const RequestInfo& request);
@@ -309,6 +352,8 @@
   /// @return true when the failure limit keeps the request off the backend server
   static bool IsBlockedByLimit(const TrackedBackend& state, const RequestInfo& request,
                                FailureLimit limit, TimePoint now);
+  /// Records the result of a run for or against the version of its backend server.
+  void RecordVersionResult(const Run& run, const RunReport& report, TimePoint now);
   void UpdateFailureRate(const Run& run, const RunReport& report, TimePoint now);
   void DetectStalledRuns(TimePoint now);
   /// Counts the outcome of a run for metrics and for the balance between size groups.
@@ -321,6 +366,7 @@
   /// Moves the next decision forward to a time, unless it is due earlier.
   void DecideBy(TimePoint at);
 
+  RolloutController* m_rollouts = nullptr;
   std::size_t m_share_index = 0;
   std::size_t m_share_count = 1;
   std::map<BackendId, TrackedBackend> m_backends;
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -80,21 +80,24 @@
     return {wire::Item_View, wire::CreateView(m_builder, m_builder.CreateVector(members)).Union()};
   }
   Item operator()(const ProbeMessage& message) {
-    return {wire::Item_Probe,
-            wire::CreateProbe(m_builder, message.sent_ns, message.has_store_contact).Union()};
+    return {wire::Item_Probe, wire::CreateProbe(m_builder, message.sent_ns,
+                                                message.has_store_contact, message.features)
+                                  .Union()};
   }
   Item operator()(const ConfirmMessage& message) {
     return {wire::Item_Confirm,
             wire::CreateConfirm(m_builder, message.probe_sent_ns, message.config_revision,
                                 message.config_age.count(), message.backends_revision,
-                                message.backends_age.count())
+                                message.backends_age.count(), message.features,
+                                message.rollouts_revision, message.rollouts_age.count())
                 .Union()};
   }
   Item operator()(const ObjectMessage& message) {
     return {wire::Item_Object,
             wire::CreateObject(m_builder, static_cast<std::uint8_t>(message.kind),
                                Encode(message.name), message.revision, message.is_deleted,
-                               Encode(message.spec), Encode(message.patch), message.base_revision)
+                               Encode(message.spec), Encode(message.patch), message.base_revision,
+                               Encode(message.status), message.created)
                 .Union()};
   }
   Item operator()(const CrashesMessage& message) {
@@ -116,6 +119,16 @@
                                     .Union()};
   }
 
+  Item operator()(const RolloutVerdictsMessage& message) {
+    std::vector<Offset<wire::VerdictT>> verdicts;
+    for (const RolloutVerdict& verdict : message.verdicts)
+      verdicts.push_back(wire::CreateVerdictT(m_builder, Encode(verdict.service),
+                                              Encode(verdict.target), verdict.created,
+                                              static_cast<std::uint8_t>(verdict.state)));
+    return {wire::Item_RolloutVerdicts,
+            wire::CreateRolloutVerdicts(m_builder, m_builder.CreateVector(verdicts)).Union()};
+  }
+
  private:
   Offset<flatbuffers::String> Encode(const std::string& text) {
     return m_builder.CreateString(text);
@@ -174,13 +187,16 @@
         return Decode(*message.item_as_View());
       case wire::Item_Probe:
         return ProbeMessage{message.item_as_Probe()->sent_ns(),
-                            message.item_as_Probe()->has_store()};
+                            message.item_as_Probe()->has_store(),
+                            message.item_as_Probe()->features()};
       case wire::Item_Confirm:
         return Decode(*message.item_as_Confirm());
       case wire::Item_Object:
         return Decode(*message.item_as_Object());
       case wire::Item_Crashes:
         return Decode(*message.item_as_Crashes());
+      case wire::Item_RolloutVerdicts:
+        return Decode(*message.item_as_RolloutVerdicts());
       default:
         m_is_valid = false;
         return WithdrawMessage{};
@@ -241,11 +257,14 @@
     message.config_age = DecodeMillis(table.config_age_ms());
     message.backends_revision = table.backends_revision();
     message.backends_age = DecodeMillis(table.backends_age_ms());
+    message.features = table.features();
+    message.rollouts_revision = table.rollouts_revision();
+    message.rollouts_age = DecodeMillis(table.rollouts_age_ms());
     return message;
   }
   ObjectMessage Decode(const wire::Object& table) {
     ObjectMessage message;
-    if (table.kind() > static_cast<std::uint8_t>(ObjectKind::kFleet)) m_is_valid = false;
+    if (table.kind() > static_cast<std::uint8_t>(ObjectKind::kRollouts)) m_is_valid = false;
     if (m_is_valid) message.kind = static_cast<ObjectKind>(table.kind());
     message.name = DecodeText(table.name());
     message.revision = table.revision();
@@ -253,6 +272,20 @@
     message.spec = DecodeText(table.spec());
     message.patch = DecodeText(table.patch());
     message.base_revision = table.base_revision();
+    message.status = DecodeText(table.status());
+    message.created = table.created();
+    return message;
+  }
+  RolloutVerdictsMessage Decode(const wire::RolloutVerdicts& table) {
+    RolloutVerdictsMessage message;
+    if (table.verdicts() == nullptr) return message;
+    for (const wire::VerdictT* verdict : *table.verdicts()) {
+      if (verdict->state() > static_cast<std::uint8_t>(RolloutState::kReverted)) m_is_valid = false;
+      if (!m_is_valid) return message;
+      message.verdicts.push_back({DecodeId<ServiceName>(verdict->service()),
+                                  DecodeId<SoftwareVersion>(verdict->target()), verdict->created(),
+                                  static_cast<RolloutState>(verdict->state())});
+    }
     return message;
   }
   CrashesMessage Decode(const wire::Crashes& table) {
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -10,6 +10,7 @@
 #include "bluebellpass/error.h"
 #include "bluebellpass/gateway/store-client.h"
 #include "gateway/decisions/coordinator.h"
+#include "gateway/rollout/rollout-controller.h"
 
 /// Messages between gateway instances and their encoding (fleet.fbs).
 
@@ -84,10 +85,23 @@
   std::vector<FleetMember> members;
 };
 
+/// Verdicts about roll-outs, either direction: all that are not in the store yet over a new link,
+/// then new ones from the coordinator. Only for instances with kFeatureRollouts.
+struct RolloutVerdictsMessage {
+  std::vector<RolloutVerdict> verdicts;
+};
+
+/// Messages that a build understands beyond those of the first one, which closes a link on a
+/// message that it does not know. Builds state them in probes and answers, and get no others.
+using FeatureSet = std::uint32_t;
+inline constexpr FeatureSet kFeatureRollouts = 1U << 0U;
+inline constexpr FeatureSet kOwnFeatures = kFeatureRollouts;
+
 /// Instance to coordinator, as a heartbeat: asks how current the coordinator's objects are.
 struct ProbeMessage {
   std::int64_t sent_ns = 0;        ///< sender's time since boot; echoed in the answer
   bool has_store_contact = false;  ///< the sender itself has read the store recently
+  FeatureSet features = 0;
 };
 /// Coordinator to instance: the answer to a probe. Each change since the link was established, up
 /// to the revisions below, has already been sent over the link.
@@ -97,6 +111,9 @@
   Millis config_age{0};  ///< since the configuration was confirmed as current
   std::uint64_t backends_revision = 0;
   Millis backends_age{0};
+  FeatureSet features = 0;
+  std::uint64_t rollouts_revision = 0;
+  Millis rollouts_age{0};
 };
 /// Coordinator to instance: an object of the platform's store has changed.
 struct ObjectMessage {
@@ -107,12 +124,15 @@
   std::string spec;   ///< JSON; if patch is empty too, the receiver must read the store itself
   std::string patch;  ///< JSON Patch (RFC 6902) against the base revision
   std::uint64_t base_revision = 0;
+  std::string status;  ///< JSON; roll-outs only, empty if there is none
+  std::uint64_t created = 0;
 };
 
 using FleetMessage =
     std::variant<SubmitMessage, WithdrawMessage, FirstEventMessage, ReleaseRunMessage,
                  AvoidBackendMessage, SyncRequestsMessage, GrantedMessage, RefusedMessage,
-                 MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage, CrashesMessage>;
+                 MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage, CrashesMessage,
+                 RolloutVerdictsMessage>;
 
 /// Encodes the payload of a Fleet frame.
 /// @param now time points are encoded relative to it
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -195,6 +195,7 @@
     if (member->id < m_options.id) ++index;
   }
   const std::size_t present = m_followers.size() + 1;
+  m_coordinator.Rollouts().SetRole(IsCoordinator(), 2 * present > member_count, m_loop.Now());
   // A coordinator that at least half of the instances follow uses all backend servers. With fewer
   // followers, after a partition or beside another coordinator, it uses only their share.
   if (IsCoordinator() && 2 * present >= member_count) return m_coordinator.SetShare(0, 1);
@@ -336,9 +337,13 @@
     m_coordinator.SyncRequests(follower, std::move(sync->waiting), sync->running, now);
   } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
     m_coordinator.MergeCrashes(crashes->update, now);
+  } else if (const auto* verdicts = std::get_if<RolloutVerdictsMessage>(&message)) {
+    for (const RolloutVerdict& verdict : verdicts->verdicts)
+      m_coordinator.Rollouts().MergeVerdict(verdict, now);
   } else if (const auto* members = std::get_if<MembersMessage>(&message)) {
     MergeMembers(*members, false);
   } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
+    SetFeatures(m_followers.at(follower), probe->features);
     SendToFollower(follower, m_relay->AnswerProbe(*probe));
     // Only this instance has lost the store, so a follower is the better coordinator.
     if (probe->has_store_contact && IsCoordinator() && !m_relay->HasStoreContact())
@@ -349,7 +354,9 @@
 void Fleet::AnnounceObject(ObjectKind kind, const StoredObject& object) {
   if (m_followers.empty()) return;
   const ObjectMessage message = m_relay->MakeAnnouncement(kind, object, m_followers.size());
-  for (auto& [id, peer] : m_followers) Enqueue(peer, message);
+  const bool is_rollout = kind == ObjectKind::kRollouts;
+  for (auto& [id, peer] : m_followers)
+    if (!is_rollout || (peer.features & kFeatureRollouts) != 0) Enqueue(peer, message);
 }
 
 void Fleet::OnCoordinatorMessage(FleetMessage message) {
@@ -364,7 +371,11 @@
     });
   } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
     m_coordinator.MergeCrashes(crashes->update, m_loop.Now());
+  } else if (const auto* verdicts = std::get_if<RolloutVerdictsMessage>(&message)) {
+    for (const RolloutVerdict& verdict : verdicts->verdicts)
+      m_coordinator.Rollouts().MergeVerdict(verdict, m_loop.Now());
   } else if (const auto* confirm = std::get_if<ConfirmMessage>(&message)) {
+    SetFeatures(*m_coordinator_peer, confirm->features);
     m_relay->OnConfirm(*confirm);
   } else if (const auto* object = std::get_if<ObjectMessage>(&message)) {
     m_relay->OnObject(*object);
@@ -386,6 +397,17 @@
   if (!update.IsEmpty()) Enqueue(peer, CrashesMessage{update});
 }
 
+void Fleet::SendVerdicts(const Peer& peer, const std::vector<RolloutVerdict>& verdicts) {
+  if (!verdicts.empty() && (peer.features & kFeatureRollouts) != 0)
+    Enqueue(peer, RolloutVerdictsMessage{verdicts});
+}
+
+void Fleet::SetFeatures(Peer& peer, FeatureSet features) {
+  if (peer.features == features) return;
+  peer.features = features;
+  SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
+}
+
 void Fleet::FlushOutboxes() {
   m_is_flush_posted = false;
   const TimePoint now = m_loop.Now();
@@ -496,6 +518,8 @@
   // The coordinator has reported what a follower learns of crashes.
   if (!IsCoordinator()) decisions.crashes = {};
   for (auto& [id, peer] : m_followers) SendCrashes(peer, decisions.crashes);
+  const std::vector<RolloutVerdict> verdicts = m_coordinator.Rollouts().TakeVerdicts();
+  for (auto& [id, peer] : m_followers) SendVerdicts(peer, verdicts);
   m_decision_log.Write(decisions, m_coordinator.RequestScheduler(), now);
   for (const Grant& grant : decisions.grants) {
     if (grant.home == m_options.id) {
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -109,6 +109,7 @@
   struct Peer {
     std::shared_ptr<Link> link;
     TimePoint last_frame_at;
+    FeatureSet features = 0;  ///< 0 until the instance has stated them
   };
   /// Messages that are sent in the next iteration of the event loop.
   struct Outbox {
@@ -149,6 +150,9 @@
   void SendToFollower(const InstanceId& follower, FleetMessage message);
   void Enqueue(const Peer& peer, FleetMessage message);
   void SendCrashes(const Peer& peer, const CrashUpdate& update);
+  void SendVerdicts(const Peer& peer, const std::vector<RolloutVerdict>& verdicts);
+  /// Records what a peer understands, and sends it what depends on that.
+  void SetFeatures(Peer& peer, FeatureSet features);
   void FlushOutboxes();
   /// Sends a changed member to all followers, after a short time and with others.
   void BroadcastMember(const FleetMember& member);
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -72,6 +72,12 @@
 struct Crashes;
 struct CrashesBuilder;
 
+struct VerdictT;
+struct VerdictTBuilder;
+
+struct RolloutVerdicts;
+struct RolloutVerdictsBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -93,27 +99,28 @@
   Item_Confirm = 11,
   Item_Object = 12,
   Item_Crashes = 13,
+  Item_RolloutVerdicts = 14,
   Item_MIN = Item_NONE,
-  Item_MAX = Item_Crashes
+  Item_MAX = Item_RolloutVerdicts
 };
 
-inline const Item (&EnumValuesItem())[14] {
-  static const Item values[] = {Item_NONE,   Item_Submit,     Item_Withdraw, Item_Grant,
-                                Item_Refuse, Item_FirstEvent, Item_Release,  Item_Avoid,
-                                Item_Sync,   Item_View,       Item_Probe,    Item_Confirm,
-                                Item_Object, Item_Crashes};
+inline const Item (&EnumValuesItem())[15] {
+  static const Item values[] = {Item_NONE,   Item_Submit,     Item_Withdraw,       Item_Grant,
+                                Item_Refuse, Item_FirstEvent, Item_Release,        Item_Avoid,
+                                Item_Sync,   Item_View,       Item_Probe,          Item_Confirm,
+                                Item_Object, Item_Crashes,    Item_RolloutVerdicts};
   return values;
 }
 
 inline const char *const *EnumNamesItem() {
-  static const char *const names[15] = {"NONE",       "Submit",  "Withdraw", "Grant",   "Refuse",
-                                        "FirstEvent", "Release", "Avoid",    "Sync",    "View",
-                                        "Probe",      "Confirm", "Object",   "Crashes", nullptr};
+  static const char *const names[16] = {
+      "NONE", "Submit", "Withdraw", "Grant",   "Refuse", "FirstEvent", "Release",         "Avoid",
+      "Sync", "View",   "Probe",    "Confirm", "Object", "Crashes",    "RolloutVerdicts", nullptr};
   return names;
 }
 
 inline const char *EnumNameItem(Item e) {
-  if (flatbuffers::IsOutRange(e, Item_NONE, Item_Crashes)) return "";
+  if (flatbuffers::IsOutRange(e, Item_NONE, Item_RolloutVerdicts)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesItem()[index];
 }
@@ -188,6 +195,11 @@
   static const Item enum_value = Item_Crashes;
 };
 
+template <>
+struct ItemTraits<bluebellpass::gateway::wire::RolloutVerdicts> {
+  static const Item enum_value = Item_RolloutVerdicts;
+};
+
 bool VerifyItem(flatbuffers::Verifier &verifier, const void *obj, Item type);
 bool VerifyItemVector(flatbuffers::Verifier &verifier,
                       const flatbuffers::Vector<flatbuffers::Offset<void>> *values,
@@ -1117,13 +1129,16 @@
   typedef ProbeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENT_NS = 4,
-    VT_HAS_STORE = 6
+    VT_HAS_STORE = 6,
+    VT_FEATURES = 8
   };
   int64_t sent_ns() const { return GetField<int64_t>(VT_SENT_NS, 0); }
   bool has_store() const { return GetField<uint8_t>(VT_HAS_STORE, 0) != 0; }
+  uint32_t features() const { return GetField<uint32_t>(VT_FEATURES, 0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<int64_t>(verifier, VT_SENT_NS, 8) &&
-           VerifyField<uint8_t>(verifier, VT_HAS_STORE, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_HAS_STORE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FEATURES, 4) && verifier.EndTable();
   }
 };
 
@@ -1135,6 +1150,9 @@
   void add_has_store(bool has_store) {
     fbb_.AddElement<uint8_t>(Probe::VT_HAS_STORE, static_cast<uint8_t>(has_store), 0);
   }
+  void add_features(uint32_t features) {
+    fbb_.AddElement<uint32_t>(Probe::VT_FEATURES, features, 0);
+  }
   explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1146,9 +1164,11 @@
 };
 
 inline flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb,
-                                              int64_t sent_ns = 0, bool has_store = false) {
+                                              int64_t sent_ns = 0, bool has_store = false,
+                                              uint32_t features = 0) {
   ProbeBuilder builder_(_fbb);
   builder_.add_sent_ns(sent_ns);
+  builder_.add_features(features);
   builder_.add_has_store(has_store);
   return builder_.Finish();
 }
@@ -1160,19 +1180,28 @@
     VT_CONFIG_REVISION = 6,
     VT_CONFIG_AGE_MS = 8,
     VT_BACKENDS_REVISION = 10,
-    VT_BACKENDS_AGE_MS = 12
+    VT_BACKENDS_AGE_MS = 12,
+    VT_FEATURES = 14,
+    VT_ROLLOUTS_REVISION = 16,
+    VT_ROLLOUTS_AGE_MS = 18
   };
   int64_t probe_sent_ns() const { return GetField<int64_t>(VT_PROBE_SENT_NS, 0); }
   uint64_t config_revision() const { return GetField<uint64_t>(VT_CONFIG_REVISION, 0); }
   int64_t config_age_ms() const { return GetField<int64_t>(VT_CONFIG_AGE_MS, 0); }
   uint64_t backends_revision() const { return GetField<uint64_t>(VT_BACKENDS_REVISION, 0); }
   int64_t backends_age_ms() const { return GetField<int64_t>(VT_BACKENDS_AGE_MS, 0); }
+  uint32_t features() const { return GetField<uint32_t>(VT_FEATURES, 0); }
+  uint64_t rollouts_revision() const { return GetField<uint64_t>(VT_ROLLOUTS_REVISION, 0); }
+  int64_t rollouts_age_ms() const { return GetField<int64_t>(VT_ROLLOUTS_AGE_MS, 0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<int64_t>(verifier, VT_PROBE_SENT_NS, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_CONFIG_AGE_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_BACKENDS_REVISION, 8) &&
-           VerifyField<int64_t>(verifier, VT_BACKENDS_AGE_MS, 8) && verifier.EndTable();
+           VerifyField<int64_t>(verifier, VT_BACKENDS_AGE_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FEATURES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ROLLOUTS_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_ROLLOUTS_AGE_MS, 8) && verifier.EndTable();
   }
 };
 
@@ -1195,6 +1224,15 @@
   void add_backends_age_ms(int64_t backends_age_ms) {
     fbb_.AddElement<int64_t>(Confirm::VT_BACKENDS_AGE_MS, backends_age_ms, 0);
   }
+  void add_features(uint32_t features) {
+    fbb_.AddElement<uint32_t>(Confirm::VT_FEATURES, features, 0);
+  }
+  void add_rollouts_revision(uint64_t rollouts_revision) {
+    fbb_.AddElement<uint64_t>(Confirm::VT_ROLLOUTS_REVISION, rollouts_revision, 0);
+  }
+  void add_rollouts_age_ms(int64_t rollouts_age_ms) {
+    fbb_.AddElement<int64_t>(Confirm::VT_ROLLOUTS_AGE_MS, rollouts_age_ms, 0);
+  }
   explicit ConfirmBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1207,13 +1245,17 @@
 
 inline flatbuffers::Offset<Confirm> CreateConfirm(
     flatbuffers::FlatBufferBuilder &_fbb, int64_t probe_sent_ns = 0, uint64_t config_revision = 0,
-    int64_t config_age_ms = 0, uint64_t backends_revision = 0, int64_t backends_age_ms = 0) {
+    int64_t config_age_ms = 0, uint64_t backends_revision = 0, int64_t backends_age_ms = 0,
+    uint32_t features = 0, uint64_t rollouts_revision = 0, int64_t rollouts_age_ms = 0) {
   ConfirmBuilder builder_(_fbb);
+  builder_.add_rollouts_age_ms(rollouts_age_ms);
+  builder_.add_rollouts_revision(rollouts_revision);
   builder_.add_backends_age_ms(backends_age_ms);
   builder_.add_backends_revision(backends_revision);
   builder_.add_config_age_ms(config_age_ms);
   builder_.add_config_revision(config_revision);
   builder_.add_probe_sent_ns(probe_sent_ns);
+  builder_.add_features(features);
   return builder_.Finish();
 }
 
@@ -1226,7 +1268,9 @@
     VT_IS_DELETED = 10,
     VT_SPEC = 12,
     VT_PATCH = 14,
-    VT_BASE_REVISION = 16
+    VT_BASE_REVISION = 16,
+    VT_STATUS = 18,
+    VT_CREATED = 20
   };
   uint8_t kind() const { return GetField<uint8_t>(VT_KIND, 0); }
   const flatbuffers::String *name() const {
@@ -1241,6 +1285,10 @@
     return GetPointer<const flatbuffers::String *>(VT_PATCH);
   }
   uint64_t base_revision() const { return GetField<uint64_t>(VT_BASE_REVISION, 0); }
+  const flatbuffers::String *status() const {
+    return GetPointer<const flatbuffers::String *>(VT_STATUS);
+  }
+  uint64_t created() const { return GetField<uint64_t>(VT_CREATED, 0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyOffset(verifier, VT_NAME) && verifier.VerifyString(name()) &&
@@ -1248,7 +1296,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_DELETED, 1) && VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyString(spec()) && VerifyOffset(verifier, VT_PATCH) &&
            verifier.VerifyString(patch()) && VerifyField<uint64_t>(verifier, VT_BASE_REVISION, 8) &&
-           verifier.EndTable();
+           VerifyOffset(verifier, VT_STATUS) && verifier.VerifyString(status()) &&
+           VerifyField<uint64_t>(verifier, VT_CREATED, 8) && verifier.EndTable();
   }
 };
 
@@ -1275,6 +1324,10 @@
   void add_base_revision(uint64_t base_revision) {
     fbb_.AddElement<uint64_t>(Object::VT_BASE_REVISION, base_revision, 0);
   }
+  void add_status(flatbuffers::Offset<flatbuffers::String> status) {
+    fbb_.AddOffset(Object::VT_STATUS, status);
+  }
+  void add_created(uint64_t created) { fbb_.AddElement<uint64_t>(Object::VT_CREATED, created, 0); }
   explicit ObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1285,16 +1338,17 @@
   }
 };
 
-inline flatbuffers::Offset<Object> CreateObject(flatbuffers::FlatBufferBuilder &_fbb,
-                                                uint8_t kind = 0,
-                                                flatbuffers::Offset<flatbuffers::String> name = 0,
-                                                uint64_t revision = 0, bool is_deleted = false,
-                                                flatbuffers::Offset<flatbuffers::String> spec = 0,
-                                                flatbuffers::Offset<flatbuffers::String> patch = 0,
-                                                uint64_t base_revision = 0) {
+inline flatbuffers::Offset<Object> CreateObject(
+    flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0, uint64_t revision = 0,
+    bool is_deleted = false, flatbuffers::Offset<flatbuffers::String> spec = 0,
+    flatbuffers::Offset<flatbuffers::String> patch = 0, uint64_t base_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> status = 0, uint64_t created = 0) {
   ObjectBuilder builder_(_fbb);
+  builder_.add_created(created);
   builder_.add_base_revision(base_revision);
   builder_.add_revision(revision);
+  builder_.add_status(status);
   builder_.add_patch(patch);
   builder_.add_spec(spec);
   builder_.add_name(name);
@@ -1306,12 +1360,14 @@
 inline flatbuffers::Offset<Object> CreateObjectDirect(
     flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0, const char *name = nullptr,
     uint64_t revision = 0, bool is_deleted = false, const char *spec = nullptr,
-    const char *patch = nullptr, uint64_t base_revision = 0) {
+    const char *patch = nullptr, uint64_t base_revision = 0, const char *status = nullptr,
+    uint64_t created = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
   auto patch__ = patch ? _fbb.CreateString(patch) : 0;
+  auto status__ = status ? _fbb.CreateString(status) : 0;
   return bluebellpass::gateway::wire::CreateObject(_fbb, kind, name__, revision, is_deleted, spec__,
-                                                   patch__, base_revision);
+                                                   patch__, base_revision, status__, created);
 }
 
 struct CrashT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1520,6 +1576,130 @@
   return bluebellpass::gateway::wire::CreateCrashes(_fbb, records__, cleared__);
 }
 
+struct VerdictT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef VerdictTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_TARGET = 6,
+    VT_CREATED = 8,
+    VT_STATE = 10
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint64_t created() const { return GetField<uint64_t>(VT_CREATED, 0); }
+  uint8_t state() const { return GetField<uint8_t>(VT_STATE, 0); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) && VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) && VerifyField<uint64_t>(verifier, VT_CREATED, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) && verifier.EndTable();
+  }
+};
+
+struct VerdictTBuilder {
+  typedef VerdictT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(VerdictT::VT_SERVICE, service);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(VerdictT::VT_TARGET, target);
+  }
+  void add_created(uint64_t created) {
+    fbb_.AddElement<uint64_t>(VerdictT::VT_CREATED, created, 0);
+  }
+  void add_state(uint8_t state) { fbb_.AddElement<uint8_t>(VerdictT::VT_STATE, state, 0); }
+  explicit VerdictTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<VerdictT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<VerdictT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<VerdictT> CreateVerdictT(
+    flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0, uint64_t created = 0, uint8_t state = 0) {
+  VerdictTBuilder builder_(_fbb);
+  builder_.add_created(created);
+  builder_.add_target(target);
+  builder_.add_service(service);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<VerdictT> CreateVerdictTDirect(flatbuffers::FlatBufferBuilder &_fbb,
+                                                          const char *service = nullptr,
+                                                          const char *target = nullptr,
+                                                          uint64_t created = 0, uint8_t state = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return bluebellpass::gateway::wire::CreateVerdictT(_fbb, service__, target__, created, state);
+}
+
+struct RolloutVerdicts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutVerdictsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_VERDICTS = 4 };
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>> *verdicts()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>> *>(
+        VT_VERDICTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_VERDICTS) &&
+           verifier.VerifyVector(verdicts()) && verifier.VerifyVectorOfTables(verdicts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutVerdictsBuilder {
+  typedef RolloutVerdicts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_verdicts(flatbuffers::Offset<
+                    flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>>>
+                        verdicts) {
+    fbb_.AddOffset(RolloutVerdicts::VT_VERDICTS, verdicts);
+  }
+  explicit RolloutVerdictsBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutVerdicts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutVerdicts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutVerdicts> CreateRolloutVerdicts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>>>
+        verdicts = 0) {
+  RolloutVerdictsBuilder builder_(_fbb);
+  builder_.add_verdicts(verdicts);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutVerdicts> CreateRolloutVerdictsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>> *verdicts =
+        nullptr) {
+  auto verdicts__ =
+      verdicts
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::VerdictT>>(*verdicts)
+          : 0;
+  return bluebellpass::gateway::wire::CreateRolloutVerdicts(_fbb, verdicts__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ITEM_TYPE = 4, VT_ITEM = 6 };
@@ -1594,6 +1774,11 @@
                ? static_cast<const bluebellpass::gateway::wire::Crashes *>(item())
                : nullptr;
   }
+  const bluebellpass::gateway::wire::RolloutVerdicts *item_as_RolloutVerdicts() const {
+    return item_type() == bluebellpass::gateway::wire::Item_RolloutVerdicts
+               ? static_cast<const bluebellpass::gateway::wire::RolloutVerdicts *>(item())
+               : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_ITEM_TYPE, 1) &&
            VerifyOffset(verifier, VT_ITEM) && VerifyItem(verifier, item(), item_type()) &&
@@ -1679,6 +1864,12 @@
   return item_as_Crashes();
 }
 
+template <>
+inline const bluebellpass::gateway::wire::RolloutVerdicts *
+Message::item_as<bluebellpass::gateway::wire::RolloutVerdicts>() const {
+  return item_as_RolloutVerdicts();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1820,6 +2011,10 @@
       auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::Crashes *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Item_RolloutVerdicts: {
+      auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::RolloutVerdicts *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default:
       return true;
   }
--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -39,8 +39,18 @@
 
 }  // namespace
 
-ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends)
-    : m_clock(clock), m_config{&config, std::nullopt}, m_backends{&backends, std::nullopt} {}
+ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends,
+                         ObjectWatch* rollouts)
+    : m_clock(clock),
+      m_config{&config, std::nullopt},
+      m_backends{&backends, std::nullopt},
+      m_rollouts{rollouts, std::nullopt} {}
+
+std::vector<ObjectRelay::Channel*> ObjectRelay::Channels() {
+  std::vector<Channel*> channels = {&m_config, &m_backends};
+  if (m_rollouts.watch != nullptr) channels.push_back(&m_rollouts);
+  return channels;
+}
 
 void ObjectRelay::SetReactionBound(Millis bound) {
   m_max_confirmation_age = std::chrono::duration_cast<Millis>(bound * kConfirmationAgeFraction);
@@ -48,7 +58,7 @@
 
 void ObjectRelay::OnCoordinatorChanged(bool is_remote) {
   m_has_remote_coordinator = is_remote;
-  for (Channel* channel : {&m_config, &m_backends}) {
+  for (Channel* channel : Channels()) {
     channel->required_revision.reset();
     channel->watch->SetMaxWait(is_remote ? kFollowerMaxWait : kCoordinatorMaxWait);
     channel->watch->SetInitialBackoff(is_remote ? kFollowerInitialBackoff
@@ -65,7 +75,7 @@
 
 void ObjectRelay::UpdateSuspension() {
   const BootTime now = m_clock.Now();
-  for (Channel* channel : {&m_config, &m_backends}) {
+  for (Channel* channel : Channels()) {
     const bool is_fresh = now - channel->watch->ConfirmedAt() < m_max_confirmation_age;
     channel->watch->SetSuspended(m_has_remote_coordinator && IsCaughtUp(*channel) && is_fresh);
   }
@@ -79,6 +89,11 @@
   confirm.config_age = now - m_config.watch->ConfirmedAt();
   confirm.backends_revision = ConfirmedRevision(*m_backends.watch).Value();
   confirm.backends_age = now - m_backends.watch->ConfirmedAt();
+  confirm.features = kOwnFeatures;
+  if (m_rollouts.watch != nullptr) {
+    confirm.rollouts_revision = ConfirmedRevision(*m_rollouts.watch).Value();
+    confirm.rollouts_age = now - m_rollouts.watch->ConfirmedAt();
+  }
   return confirm;
 }
 
@@ -89,6 +104,8 @@
   message.name = object.name;
   message.revision = object.revision.Value();
   message.is_deleted = object.is_deleted;
+  message.created = object.created;
+  if (object.status) message.status = object.status->dump();
   if (!object.spec || object.is_deleted) return message;
   const auto fits = [&](const std::string& text) {
     return text.size() * instances <= kMaxChangeBytes;
@@ -116,7 +133,7 @@
 }
 
 ProbeMessage ObjectRelay::MakeProbe() const {
-  return {m_clock.Now().since_boot.count(), HasStoreContact()};
+  return {m_clock.Now().since_boot.count(), HasStoreContact(), kOwnFeatures};
 }
 
 bool ObjectRelay::HasStoreContact() const {
@@ -132,6 +149,9 @@
                  sent + Millis(-confirm.config_age.count()));
   ConfirmChannel(m_backends, Revision(confirm.backends_revision),
                  sent + Millis(-confirm.backends_age.count()));
+  if (m_rollouts.watch != nullptr)
+    ConfirmChannel(m_rollouts, Revision(confirm.rollouts_revision),
+                   sent + Millis(-confirm.rollouts_age.count()));
   UpdateSuspension();
 }
 
@@ -146,6 +166,7 @@
 
 ObjectRelay::Channel* ObjectRelay::FindChannel(ObjectKind kind) {
   if (kind == ObjectKind::kConfig) return &m_config;
+  if (kind == ObjectKind::kRollouts && m_rollouts.watch != nullptr) return &m_rollouts;
   return kind == ObjectKind::kBackends ? &m_backends : nullptr;
 }
 
@@ -154,7 +175,13 @@
   object.name = message.name;
   object.revision = Revision(message.revision);
   object.is_deleted = message.is_deleted;
+  object.created = message.created;
   if (message.is_deleted) return object;
+  if (!message.status.empty()) {
+    auto status = nlohmann::json::parse(message.status, nullptr, false);
+    if (!status.is_discarded())
+      object.status = std::make_shared<const nlohmann::json>(std::move(status));
+  }
   const bool has_spec = !message.spec.empty();
   if (!has_spec && message.patch.empty()) return std::nullopt;
   auto spec = nlohmann::json::parse(has_spec ? message.spec : message.patch, nullptr, false);
--- a/src/gateway/fleet/relay.h
+++ b/src/gateway/fleet/relay.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fleet-codec.h"
 #include "gateway/state/boot-clock.h"
@@ -18,7 +19,9 @@
 /// coordinator's confirmations are missing or too old.
 class ObjectRelay {
  public:
-  ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends);
+  /// @param rollouts null if the deployment has no roll-outs
+  ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends,
+              ObjectWatch* rollouts = nullptr);
 
   /// Sets the time in which this instance must react to a change in the store.
   void SetReactionBound(Millis bound);
@@ -56,6 +59,7 @@
     std::optional<Revision> required_revision;
   };
   Channel* FindChannel(ObjectKind kind);
+  std::vector<Channel*> Channels();
   /// @return the object in the message, or nullopt when it must be read from the store
   std::optional<StoredObject> DecodeObject(const ObjectMessage& message) const;
   void ConfirmChannel(Channel& channel, Revision revision, BootTime at);
@@ -64,6 +68,7 @@
   const BootClock& m_clock;
   Channel m_config;
   Channel m_backends;
+  Channel m_rollouts;  ///< without a watch if the deployment has no roll-outs
   std::map<std::string, StoredObject> m_diff_bases;  ///< latest configurations by name
   Millis m_max_confirmation_age{1'200};
   bool m_has_remote_coordinator = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -117,6 +117,15 @@
   return options;
 }
 
+/// @return a function that logs whether the store answers the calls for a kind of objects
+std::function<void(bool is_reachable, const std::string& reason)> MakeReachabilityLogger(
+    const char* kind) {
+  return [kind](bool is_reachable, const std::string& reason) {
+    LogEvent(is_reachable ? EventId::kFeedRegained : EventId::kFeedLost,
+             {{"kind", kind}, {"reason", reason}});
+  };
+}
+
 }  // namespace
 
 Gateway::Gateway(Platform platform, Settings settings)
@@ -204,12 +213,6 @@
 }
 
 void Gateway::StartWatches() {
-  const auto make_reachability_logger = [](const char* kind) {
-    return [kind](bool is_reachable, const std::string& reason) {
-      LogEvent(is_reachable ? EventId::kFeedRegained : EventId::kFeedLost,
-               {{"kind", kind}, {"reason", reason}});
-    };
-  };
   WatchOptions options;
   options.max_wait = kMaxWatchWait;
   ObjectWatch::Events config_events;
@@ -219,7 +222,7 @@
     OnConfigObject(object);
   };
   config_events.on_confirmed = [this](BootTime at) { m_routing_state.ConfirmConfig(at); };
-  config_events.on_reachability = [this, log = make_reachability_logger("config")](
+  config_events.on_reachability = [this, log = MakeReachabilityLogger("config")](
                                       bool is_reachable, const std::string& reason) {
     log(is_reachable, reason);
     if (is_reachable) OnStoreReachable();
@@ -235,18 +238,43 @@
     OnBackendObject(object);
   };
   backend_events.on_batch = [this] { OnBackendBatch(); };
-  backend_events.on_reachability = make_reachability_logger("backends");
+  backend_events.on_reachability = MakeReachabilityLogger("backends");
   m_backend_watch = std::make_unique<ObjectWatch>(
       *m_store_client, m_loop, m_clock, ObjectKind::kBackends, options, std::move(backend_events));
-  m_relay = std::make_unique<ObjectRelay>(m_clock, *m_config_watch, *m_backend_watch);
+  if (m_settings.rollout_bounds) StartRolloutWatch();
+  m_relay = std::make_unique<ObjectRelay>(m_clock, *m_config_watch, *m_backend_watch,
+                                          m_rollout_watch.get());
   m_fleet.SetRelay(m_relay.get());
   ApplySettings();
   m_config_watch->Start();
+  // Before the backend servers, whose versions an order may name.
+  if (m_rollout_watch) m_rollout_watch->Start();
   m_backend_watch->Start();
 }
 
+void Gateway::StartRolloutWatch() {
+  m_rollout_task = std::make_unique<RolloutTask>(m_loop, *m_store_client, *m_platform.protocol,
+                                                 m_coordinator.Rollouts(),
+                                                 [this] { m_fleet.ScheduleDecision(); });
+  WatchOptions options;
+  options.max_wait = kMaxWatchWait;
+  options.max_backoff = kStoreRetryDelay;
+  ObjectWatch::Events events;
+  events.on_object = [this](const StoredObject& object) {
+    if (m_rollout_watch->HasInitialList()) m_fleet.AnnounceObject(ObjectKind::kRollouts, object);
+    m_rollout_task->OnObject(object);
+  };
+  events.on_confirmed = [this](BootTime) {
+    m_coordinator.Rollouts().SetSeenRevision(m_rollout_watch->SeenRevision());
+  };
+  events.on_reachability = MakeReachabilityLogger("rollouts");
+  m_rollout_watch = std::make_unique<ObjectWatch>(
+      *m_store_client, m_loop, m_clock, ObjectKind::kRollouts, options, std::move(events));
+}
+
 void Gateway::OnStoreReachable() {
   m_backend_watch->RetryNow();
+  if (m_rollout_watch) m_rollout_watch->RetryNow();
   for (StoreTask* task : {&m_register_task, &m_keys_task, &m_list_task}) task->RetryNow();
 }
 
@@ -273,11 +301,17 @@
 void Gateway::UpdateSchedulerBackends() {
   const auto& table = m_routing_state.Table();
   if (!table) return;
-  for (const auto& [id, backend] : m_routing_state.Backends())
-    m_coordinator.RequestScheduler().SetBackend(backend, table->FindService(backend.service));
+  for (const auto& [id, backend] : m_routing_state.Backends()) SetSchedulerBackend(backend);
   m_fleet.ScheduleDecision();
 }
 
+void Gateway::SetSchedulerBackend(const Backend& backend) {
+  const auto& table = m_routing_state.Table();
+  m_coordinator.Rollouts().SetBackend(backend, m_loop.Now());
+  m_coordinator.RequestScheduler().SetBackend(
+      backend, table ? table->FindService(backend.service) : nullptr);
+}
+
 void Gateway::OnBackendBatch() {
   if (!std::exchange(m_has_listed_backends, true))
     LogEvent(EventId::kBackendsListed,
@@ -291,7 +325,8 @@
   if (!object.is_deleted && object.spec) {
     Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
     if (IsOk(backend)) {
-      const Backend& changed = std::get<Backend>(backend);
+      Backend& changed = std::get<Backend>(backend);
+      changed.revision = object.revision.Value();
       // The initial list of a large fleet would flood the log.
       if (m_has_listed_backends)
         LogEvent(EventId::kBackendChanged,
@@ -301,10 +336,7 @@
                   {"state", changed.is_draining ? "draining" : "ready"},
                   {"revision", static_cast<std::int64_t>(object.revision.Value())}});
       m_routing_state.SetBackend(changed);
-      const auto& table = m_routing_state.Table();
-      m_coordinator.RequestScheduler().SetBackend(
-          changed, table ? table->FindService(changed.service) : nullptr);
-      return;
+      return SetSchedulerBackend(changed);
     }
     LogEvent(EventId::kObjectRejected,
              {{"object", object.name}, {"reason", ErrorOf(backend).message}});
@@ -316,6 +348,7 @@
             {"revision", static_cast<std::int64_t>(object.revision.Value())}});
   m_routing_state.RemoveBackend(id);
   m_coordinator.RequestScheduler().RemoveBackend(id);
+  m_coordinator.Rollouts().RemoveBackend(id, m_loop.Now());
 }
 
 void Gateway::OnRequest(std::shared_ptr<HttpExchange> exchange) {
@@ -325,9 +358,16 @@
     return exchange->Send(kUnavailable,
                           m_platform.protocol->EncodeLocalResponse(id, kRetryAfterStopping), "");
   }
-  const CallContext context{m_loop,           *m_platform.protocol, m_routing_state,   m_fleet,
-                            m_pool,           m_retry_budgets,      m_backend_notices, m_metrics,
-                            m_response_memory};
+  const CallContext context{m_loop,
+                            *m_platform.protocol,
+                            m_routing_state,
+                            m_fleet,
+                            m_pool,
+                            m_retry_budgets,
+                            m_backend_notices,
+                            m_metrics,
+                            m_response_memory,
+                            m_coordinator.Rollouts()};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
@@ -419,6 +459,8 @@
 void Gateway::ApplySettings() {
   m_response_memory.SetLimit(m_settings.max_response_memory);
   m_routing_state.SetBounds(MakeStalenessBounds(m_settings));
+  // Roll-outs cannot be enabled by a reload, since the entries are read from the start.
+  if (m_rollout_watch) m_coordinator.Rollouts().SetBounds(m_settings.rollout_bounds);
   m_coordinator.SetQuotaTolerance(
       {m_settings.quota_window, m_settings.quota_excess_ratio, m_settings.quota_slack});
   if (m_relay)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/decisions/quota.h"
 #include "gateway/fleet/fleet.h"
 #include "gateway/fleet/relay.h"
+#include "gateway/rollout/rollout-task.h"
 #include "gateway/state/boot-clock.h"
 #include "gateway/state/object-watch.h"
 #include "gateway/state/routing-state.h"
@@ -51,6 +52,7 @@
  private:
   Result<Ok> Listen();
   void StartWatches();
+  void StartRolloutWatch();
   void OnStoreReachable();
   void OnConfigObject(const StoredObject& object);
   void OnBackendBatch();
@@ -69,6 +71,8 @@
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
   AddressList MakeAddressList(const DataCentre& caller) const;
   void UpdateSchedulerBackends();
+  /// Tells the scheduler and the roll-outs about a backend server.
+  void SetSchedulerBackend(const Backend& backend);
   void Register();
   void OnRegistered(Revision revision);
   /// Joins the fleet once its link keys and all its instances are known. Without them this instance
@@ -96,6 +100,9 @@
   std::unique_ptr<StoreClient> m_store_client;
   std::unique_ptr<ObjectWatch> m_config_watch;
   std::unique_ptr<ObjectWatch> m_backend_watch;
+  /// Null if the deployment has no roll-outs.
+  std::unique_ptr<ObjectWatch> m_rollout_watch;
+  std::unique_ptr<RolloutTask> m_rollout_task;
   std::unique_ptr<ObjectRelay> m_relay;
   Coordinator m_coordinator;
   Fleet m_fleet;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -6,6 +6,7 @@
 
 #include "bluebellpass/error.h"
 #include "bluebellpass/gateway/model.h"
+#include "bluebellpass/gateway/rollout.h"
 #include "kernel/http1.h"
 
 namespace bluebellpass::gateway {
@@ -47,6 +48,9 @@
 
   /// @return the configuration, or kInvalidConfig
   virtual Result<Config> DecodeConfig(const nlohmann::json& spec) const = 0;
+  /// @return the order with its status, or kInvalidConfig when the object is not an order
+  virtual Result<RolloutEntry> DecodeRollout(const StoredObject& object) const = 0;
+  virtual nlohmann::json EncodeRolloutStatus(const RolloutStatus& status) const = 0;
   /// @return the backend server, or kInvalidConfig when the object does not describe a usable one
   virtual Result<Backend> DecodeBackend(const std::string& id,
                                         const nlohmann::json& spec) const = 0;
--- a/src/gateway/rollout/rollout-controller.h
+++ b/src/gateway/rollout/rollout-controller.h
@@ -10,17 +10,10 @@
 #include "bluebellpass/error.h"
 #include "bluebellpass/gateway/model.h"
 #include "bluebellpass/gateway/rollout.h"
+#include "service-rollout.h"
 
 namespace bluebellpass::gateway {
 
-/// The deployment's bounds on an unproven version.
-struct RolloutBounds {
-  /// Fraction of a service's requests that may run at an unproven version.
-  double exposure_ratio = 0;
-  double exposure_slack = 0;  ///< number of requests allowed in addition
-  Millis rollback_delay{0};   ///< from the 50th bad response until nothing is sent any more
-};
-
 /// What the version of a backend server permits at present.
 enum class VersionUse : std::uint8_t {
   kAllowed,
@@ -38,17 +31,6 @@
   bool operator==(const RolloutVerdict&) const = default;
 };
 
-/// A result of a run that counts for or against its version.
-struct VersionResult {
-  BackendId backend;
-  std::string route;
-  bool is_failure = false;
-  std::optional<Millis> time_to_first_event;  ///< streams only
-  std::int64_t prefill_tokens = 0;            ///< prompt tokens ahead of the first event
-  std::optional<double> event_gap_ms;         ///< typical time between events; streams only
-  Millis duration{0};                         ///< from dispatch to the end of the run
-};
-
 /// A status that must be written to the store, if the object still has the revision.
 struct RolloutStatusWrite {
   ServiceName service;
@@ -56,17 +38,15 @@
   RolloutStatus status;
 };
 
-/// State of a roll-out for operators.
+/// State of a roll-out for operators and the log.
 struct RolloutSummary {
   RolloutOrder order;
   RolloutState state = RolloutState::kRunning;
   RolloutPhase phase = RolloutPhase::kProbing;
   Millis elapsed{0};
   double share = 0;  ///< of the requests that the target gets at present
-  std::uint64_t target_requests = 0;
-  std::uint64_t target_failures = 0;
-  std::uint64_t old_requests = 0;
-  std::uint64_t old_failures = 0;
+  VersionCounts target;
+  VersionCounts old;
   std::uint64_t exposure_limit = 0;
   std::uint64_t total_requests = 0;
   std::string reason;
@@ -103,25 +83,33 @@
   /// @return what the version of a backend server permits; checked for grants and again at the send
   VersionUse UseOf(const Backend& backend, TimePoint now) const;
 
+  /// @return true if the use of a version of the service may differ from kAllowed
+  bool IsRestricted(const ServiceName& service) const;
   /// @return true when a request should be sent to the target of its service's order, if one of its
   /// backend servers can take it; TakeExposure must follow
-  bool WantsTarget(const ServiceName& service, const AttemptId& id, TimePoint now);
+  bool WantsTarget(const ServiceName& service, const AttemptId& id, TimePoint now) const;
   /// @return true when the request should run where requests are packed, to show faults under load;
   /// false when it should be spread over all backend servers of the target
-  bool IsPacked(const AttemptId& id) const;
+  static bool IsPacked(const AttemptId& id);
   /// Takes one request from the exposure budget.
   /// @return false when the budget is used up; the request must not go to the target then
-  bool TakeExposure(const ServiceName& service, TimePoint now);
+  bool TakeExposure(const ServiceName& service, const AttemptId& id, TimePoint now);
   /// Records that a request was granted to a backend server.
-  void RecordGrant(const Backend& backend, const std::string& route, TimePoint now);
+  void RecordGrant(const Backend& backend);
   /// Records the result of a run. Cancelled runs and those that were not run are not recorded.
-  void RecordResult(const VersionResult& result, TimePoint now);
+  void RecordResult(const ServiceName& service, const VersionResult& result, TimePoint now);
   /// Sets the number of runs at backend servers of other versions than the target.
-  void SetOldRuns(const ServiceName& service, std::size_t count, TimePoint now);
+  void SetOldRuns(const ServiceName& service, std::size_t count);
+  std::vector<RolloutOrder> RunningOrders() const;
+  /// @return true while an order is running, or its final state is not known to be in the store
+  bool HasUnfinishedOrders() const;
 
-  /// Decides what is due.
+  /// Decides what is due. Cheap if called more often than that.
+  void Decide(TimePoint now);
   /// @return verdicts that the followers must be told, new since the last call
-  std::vector<RolloutVerdict> Decide(TimePoint now);
+  std::vector<RolloutVerdict> TakeVerdicts();
+  /// @return roll-outs that began, changed their phase or ended since the last call
+  std::vector<RolloutSummary> TakeChanges();
   /// @return statuses to write now; each stays in progress until OnStatusWritten
   std::vector<RolloutStatusWrite> TakeStatusWrites(TimePoint now);
   /// @param result new revision; kConflict when the object has changed, kStoreUncertain when the
@@ -138,8 +126,27 @@
   std::vector<RolloutSummary> Summaries(TimePoint now) const;
 
  private:
-  struct Impl;
-  std::unique_ptr<Impl> m_impl;
+  /// Versions and order of one service.
+  struct ServiceState;
+
+  ServiceState& StateOf(const ServiceName& service);
+  const ServiceState* FindState(const ServiceName& service) const;
+  bool IsKnownEntry(const Backend& backend) const;
+  void UpdateKnownVersions(ServiceState& state);
+  /// Records a change of the order's phase or state.
+  void NoteChange(ServiceState& state, TimePoint now);
+  RolloutSummary SummaryOf(const ServiceState& state, TimePoint now) const;
+  VersionUse UseByOrder(const ServiceState& state, const Backend& backend, TimePoint now) const;
+
+  std::optional<RolloutBounds> m_bounds;
+  std::map<ServiceName, std::unique_ptr<ServiceState>> m_services;
+  std::optional<Revision> m_seen_revision;
+  bool m_is_coordinator = false;
+  bool m_has_majority = false;
+  TimePoint m_next_decision{};
+  std::vector<RolloutVerdict> m_new_verdicts;
+  std::vector<RolloutVerdict> m_early_verdicts;  ///< about orders that are not known here yet
+  std::vector<RolloutSummary> m_changes;
 };
 
 }  // namespace bluebellpass::gateway
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -103,6 +103,12 @@
               "a backend server crashed while requests ran on it"},
     EventInfo{kMemoryReleased, "memory_released", kWarning,
               "a response was ended because responses together hold too much memory"},
+    EventInfo{kRolloutChanged, "rollout_changed", kInfo,
+              "a roll-out began, changed its phase or ended"},
+    EventInfo{kRolloutStatusWritten, "rollout_status_written", kInfo,
+              "the status of a roll-out was written to the platform's store, or not"},
+    EventInfo{kRolloutRejected, "rollout_rejected", kWarning,
+              "an order for a roll-out cannot be used"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
