Bound what a gateway holds of requests, and its connections

cause: bodies of requests were in no account, so a crowd of unfinished ones took all memory; a body announced as too large was read up to the limit; idle connections took all that the instance accepts; callers' and directory connections together could exceed the descriptors.

change: bodies, unfinished heads and pipelined bytes count in the memory account from their first byte, with the capacity of their buffers, until they are sent to the last backend server that may get them, and pending writes to backend servers count too. Above half of the account large bodies are received one at a time, above all of it the largest unfinished or waiting one is refused with 503. Announced bodies over the limit get 413 at their head. When all connections are taken, the oldest idle or unfinished one of the address with most connections is closed. Directory, checks and metrics have connection limits of their own. Gauges by kind, a counter and the event client_rejected.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -89,6 +89,7 @@
   kRolloutChanged = 619,
   kRolloutStatusWritten = 620,
   kRolloutRejected = 621,
+  kClientRejected = 622,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/include/bluebellpass/gateway/settings.h
+++ b/include/bluebellpass/gateway/settings.h
@@ -25,8 +25,8 @@
   Address store_address;
 
   std::size_t max_descriptors = 1'024;
-  /// Limit on the bytes of responses that are not passed on yet.
-  std::size_t max_response_memory = 40U << 20U;
+  /// Limit on the bytes of requests and responses that are not passed on yet.
+  std::size_t max_buffer_memory = 40U << 20U;
   double processor_share = 0;  ///< cores that the process may use; 0 if unknown
 
   Millis max_config_delay{3'000};      ///< from a change of the configuration until it is in force
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -67,10 +67,13 @@
       m_arrived_at(context.loop.Now()),
       m_timer(context.loop),
       m_backpressure_timer(context.loop),
-      m_held(&context.response_memory, [this] { OnOverMemoryLimit(); }) {}
+      m_held(&context.buffer_memory, [this] { OnOverMemoryLimit(); }) {}
 
 void Call::Start() {
   m_exchange->OnClosed([self = shared_from_this()] { self->OnCallerDisconnected(); });
+  m_exchange->OnBodyEvicted([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnBodyEvicted();
+  });
   if (!DecodeRequestHead()) return;
   if (!m_context.routing_state.Table()) return WaitForConfig();
   Admit();
@@ -199,6 +202,7 @@
   const HttpHead& head = m_exchange->Head();
   std::vector<HttpField> header_fields =
       m_context.protocol.EncodeBackendRequest(head, backend.address, fields);
+  m_exchange->PinBody();
   const std::string& body = m_exchange->Body();
   if (!body.empty() || head.content_length || head.is_chunked)
     header_fields.push_back({"Content-Length", std::to_string(body.size())});
@@ -229,6 +233,8 @@
     // Called from within StartCall when a connection is already established.
     self->m_was_sent = true;
     ++self->m_send_count;
+    // No other backend server may get the request.
+    if (self->m_send_count >= self->m_route->max_backends) self->m_exchange->ReleaseBody();
   };
   handlers.on_head = [self](const HttpHead& head) { return self->OnResponseHead(head); };
   handlers.on_body = [self](std::string_view bytes) { self->OnResponseBody(bytes); };
@@ -303,9 +309,8 @@
       OnPooledCallResult(PooledCallResult::kMalformedResponse);
     return;
   }
-  const std::size_t limit = m_context.response_memory.IsScarce()
-                                ? kMaxBufferedResponseBytesWhenScarce
-                                : kMaxBufferedResponseBytes;
+  const std::size_t limit = m_context.buffer_memory.IsScarce() ? kMaxBufferedResponseBytesWhenScarce
+                                                               : kMaxBufferedResponseBytes;
   if (m_response_body.size() <= limit) return;
   StartResponse();
   m_state = State::kResponding;
@@ -359,7 +364,7 @@
 
 void Call::ApplyBackpressure() {
   const std::size_t limit =
-      m_context.response_memory.IsScarce() ? kMaxPendingBytesWhenScarce : kMaxPendingBytes;
+      m_context.buffer_memory.IsScarce() ? kMaxPendingBytesWhenScarce : kMaxPendingBytes;
   if (m_exchange->PendingBytes() <= limit || !m_pooled_call) return;
   m_pooled_call->SetPaused(true);
   m_backpressure_timer.StartPeriodic(kBackpressureCheckPeriod, [self = shared_from_this(), limit] {
@@ -533,6 +538,14 @@
   }
 }
 
+void Call::OnBodyEvicted() {
+  // The body is pinned when the request is sent, so it has not run.
+  if (m_state == State::kEnded) return;
+  if (m_state == State::kWaiting) m_context.dispatcher.Withdraw(m_request.id);
+  m_exchange->ReleaseBody();
+  Refuse(kUnavailable, "memory_limit", kRetryAfterUnavailable);
+}
+
 void Call::OnCallerDisconnected() {
   if (m_state == State::kEnded) return;
   if (m_state == State::kWaiting) m_context.dispatcher.Withdraw(m_request.id);
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -40,7 +40,7 @@
   RetryBudgets& retry_budgets;
   BackendNotices& backend_notices;
   Metrics& metrics;
-  MemoryAccount& response_memory;
+  MemoryAccount& buffer_memory;
   const RolloutController& rollouts;
 };
 
@@ -112,6 +112,8 @@
   void DropPooledCall();
   void OnTimeout();
   void OnCallerDisconnected();
+  /// Refuses the waiting request, whose body the instance has no memory for.
+  void OnBodyEvicted();
 
   /// Ends the call with a response that promises that the request did not run.
   void Refuse(int status, const char* reason, std::optional<Millis> retry_after);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,6 +37,12 @@
 // File descriptors that are not available to connections of callers: connections to backend
 // servers, the store and other instances, and files.
 constexpr std::size_t kReservedDescriptors = 900;
+// Part of the callers' connections that is for lookups in the directory, which are short.
+constexpr std::size_t kDirectoryConnectionsDivisor = 5;
+// Connections for the platform's checks and for metrics, at each of their addresses.
+constexpr std::size_t kMaxInternalConnections = 32;
+// Requests to the directory, for checks and for metrics have no body or a short command.
+constexpr std::size_t kMaxLocalBodyBytes = 16U << 10U;
 
 // Fraction of the platform's retry limit that instances use. Less than 1, because the windows of
 // instances and backend servers do not coincide.
@@ -62,21 +68,44 @@
   }
 }
 
+/// @return number of connections that callers may open, with those to the directory
+std::size_t MaxClientConnections(const Settings& settings) {
+  return settings.max_descriptors > 2 * kReservedDescriptors
+             ? settings.max_descriptors - kReservedDescriptors
+             : settings.max_descriptors / 2;
+}
+
+std::size_t MaxDirectoryConnections(const Settings& settings) {
+  return MaxClientConnections(settings) / kDirectoryConnectionsDivisor;
+}
+
 Http1Limits MakeHttpLimits(const Settings& settings, const CallerLimits& limits) {
   Http1Limits result;
   result.max_header_bytes = limits.max_header_bytes;
   result.max_body_bytes = limits.max_body_bytes;
   result.request_timeout = limits.header_timeout;
   result.idle_timeout = limits.idle_timeout;
-  result.max_connections = settings.max_descriptors > 2 * kReservedDescriptors
-                               ? settings.max_descriptors - kReservedDescriptors
-                               : settings.max_descriptors / 2;
+  result.max_connections = MaxClientConnections(settings) - MaxDirectoryConnections(settings);
+  return result;
+}
+
+Http1Limits MakeDirectoryLimits(const Settings& settings) {
+  Http1Limits result = MakeHttpLimits(settings, {});
+  result.max_connections = MaxDirectoryConnections(settings);
+  result.max_body_bytes = kMaxLocalBodyBytes;
   return result;
 }
 
-ConnectionPoolOptions MakePoolOptions(MemoryAccount& response_memory) {
+Http1Limits MakeInternalLimits() {
+  Http1Limits result;
+  result.max_connections = kMaxInternalConnections;
+  result.max_body_bytes = kMaxLocalBodyBytes;
+  return result;
+}
+
+ConnectionPoolOptions MakePoolOptions(MemoryAccount& buffer_memory) {
   ConnectionPoolOptions options;
-  options.account = &response_memory;
+  options.account = &buffer_memory;
   return options;
 }
 
@@ -132,29 +161,32 @@
     : m_platform(std::move(platform)),
       m_settings(std::move(settings)),
       m_incarnation(MakeIncarnation()),
-      m_response_memory(m_settings.max_response_memory),
+      m_buffer_memory(m_settings.max_buffer_memory),
       m_log_writer(std::make_shared<LogWriter>(STDOUT_FILENO)),
       m_routing_state(m_clock, MakeStalenessBounds(m_settings)),
-      m_store_client(m_platform.make_store_client(m_loop, m_settings, m_response_memory)),
+      m_store_client(m_platform.make_store_client(m_loop, m_settings, m_buffer_memory)),
       m_fleet(m_loop, MakeFleetOptions(m_settings, m_incarnation), m_coordinator,
               {[this](const InstanceId& id, std::uint64_t registration_revision) {
                  RemoveInstance(id, registration_revision);
                },
                [this](bool is_remote) { m_relay->OnCoordinatorChanged(is_remote); }}),
-      m_pool(m_loop, MakePoolOptions(m_response_memory)),
+      m_pool(m_loop, MakePoolOptions(m_buffer_memory)),
       m_caller_server(
           m_loop, MakeHttpLimits(m_settings, {}),
           [this](std::shared_ptr<HttpExchange> exchange) { OnRequest(std::move(exchange)); },
-          &m_response_memory),
+          &m_buffer_memory),
       m_ready_server(
-          m_loop, {},
-          [this](const std::shared_ptr<HttpExchange>& exchange) { OnLocalRequest(exchange); }),
+          m_loop, MakeInternalLimits(),
+          [this](const std::shared_ptr<HttpExchange>& exchange) { OnLocalRequest(exchange); },
+          &m_buffer_memory),
       m_directory_server(
-          m_loop, MakeHttpLimits(m_settings, {}),
-          [this](const std::shared_ptr<HttpExchange>& exchange) { OnLocalRequest(exchange); }),
+          m_loop, MakeDirectoryLimits(m_settings),
+          [this](const std::shared_ptr<HttpExchange>& exchange) { OnLocalRequest(exchange); },
+          &m_buffer_memory),
       m_metrics_server(
-          m_loop, {},
-          [this](const std::shared_ptr<HttpExchange>& exchange) { OnMetricsRequest(exchange); }),
+          m_loop, MakeInternalLimits(),
+          [this](const std::shared_ptr<HttpExchange>& exchange) { OnMetricsRequest(exchange); },
+          &m_buffer_memory),
       m_register_task(m_loop, [this] { Register(); }),
       m_keys_task(m_loop, [this] { ReadLinkKeys(ReadConsistency::kAllowStale); }),
       m_list_task(m_loop, [this] { ListInstances("", m_is_registered); }),
@@ -163,12 +195,14 @@
       m_stop_timer(m_loop),
       m_abort_timer(m_loop),
       m_log_timer(m_loop) {
-  m_response_memory.OnEviction([this](std::size_t bytes) {
+  m_buffer_memory.OnEviction([this](std::size_t bytes) {
     LogEvent(EventId::kMemoryReleased,
              {{"bytes", static_cast<std::int64_t>(bytes)},
-              {"used", static_cast<std::int64_t>(m_response_memory.Used())},
-              {"limit", static_cast<std::int64_t>(m_response_memory.Limit())}});
+              {"used", static_cast<std::int64_t>(m_buffer_memory.Used())},
+              {"limit", static_cast<std::int64_t>(m_buffer_memory.Limit())}});
   });
+  for (Http1Server* server : {&m_caller_server, &m_directory_server})
+    server->OnRejection([this](ClientRejection rejection) { OnClientRejected(rejection); });
   SetEventSource(m_settings.instance.Text());
   SetLogSink(std::make_shared<LogWriterSink>(m_log_writer, m_loop), kMaxRecordedEvents);
 }
@@ -358,16 +392,9 @@
     return exchange->Send(kUnavailable,
                           m_platform.protocol->EncodeLocalResponse(id, kRetryAfterStopping), "");
   }
-  const CallContext context{m_loop,
-                            *m_platform.protocol,
-                            m_routing_state,
-                            m_fleet,
-                            m_pool,
-                            m_retry_budgets,
-                            m_backend_notices,
-                            m_metrics,
-                            m_response_memory,
-                            m_coordinator.Rollouts()};
+  const CallContext context{m_loop,          *m_platform.protocol,     m_routing_state,   m_fleet,
+                            m_pool,          m_retry_budgets,          m_backend_notices, m_metrics,
+                            m_buffer_memory, m_coordinator.Rollouts()};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
@@ -407,6 +434,18 @@
   }
 }
 
+void Gateway::OnClientRejected(ClientRejection rejection) {
+  const std::string reason(NameOf(rejection));
+  m_metrics.IncrementCounter("gateway_rejected_clients", "reason=\"" + reason + "\"");
+  LogEvent(
+      EventId::kClientRejected,
+      {{"reason", reason},
+       {"request_bytes", static_cast<std::int64_t>(m_buffer_memory.Used(BufferKind::kRequestBody))},
+       {"used", static_cast<std::int64_t>(m_buffer_memory.Used())},
+       {"limit", static_cast<std::int64_t>(m_buffer_memory.Limit())},
+       {"connections", static_cast<std::int64_t>(m_caller_server.ConnectionCount())}});
+}
+
 void Gateway::OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange) {
   const std::string& target = exchange->Head().target;
   if (target.starts_with(kEventsPath)) {
@@ -421,9 +460,14 @@
   m_metrics.SetGauge("gateway_log_dropped_lines",
                      static_cast<double>(m_log_writer->DroppedLines()));
   m_metrics.SetGauge("gateway_response_memory_bytes",
-                     static_cast<double>(m_response_memory.Used()));
+                     static_cast<double>(m_buffer_memory.Used(BufferKind::kResponse)));
+  m_metrics.SetGauge("gateway_request_memory_bytes",
+                     static_cast<double>(m_buffer_memory.Used(BufferKind::kRequestBody)));
+  m_metrics.SetGauge("gateway_write_memory_bytes",
+                     static_cast<double>(m_buffer_memory.Used(BufferKind::kPendingWrite)));
+  m_metrics.SetGauge("gateway_memory_limit_bytes", static_cast<double>(m_buffer_memory.Limit()));
   m_metrics.SetGauge("gateway_memory_evictions",
-                     static_cast<double>(m_response_memory.EvictionCount()));
+                     static_cast<double>(m_buffer_memory.EvictionCount()));
   m_metrics.SetGauge("gateway_waiting",
                      static_cast<double>(m_coordinator.RequestScheduler().WaitingCount()));
   m_metrics.SetGauge("gateway_running",
@@ -457,7 +501,7 @@
 }
 
 void Gateway::ApplySettings() {
-  m_response_memory.SetLimit(m_settings.max_response_memory);
+  m_buffer_memory.SetLimit(m_settings.max_buffer_memory);
   m_routing_state.SetBounds(MakeStalenessBounds(m_settings));
   // Roll-outs cannot be enabled by a reload, since the entries are read from the start.
   if (m_rollout_watch) m_coordinator.Rollouts().SetBounds(m_settings.rollout_bounds);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,7 +32,7 @@
 struct Platform {
   std::unique_ptr<Protocol> protocol;
   std::function<std::unique_ptr<StoreClient>(EventLoop& loop, const Settings& settings,
-                                             MemoryAccount& response_memory)>
+                                             MemoryAccount& buffer_memory)>
       make_store_client;
   SettingsReader read_settings;
 };
@@ -68,6 +68,8 @@
   /// Handles a request at the callers' address, which is never answered by this instance itself.
   void OnRequest(std::shared_ptr<HttpExchange> exchange);
   void OnLocalRequest(const std::shared_ptr<HttpExchange>& exchange);
+  /// Counts and logs a client that was turned away before its request was handled.
+  void OnClientRejected(ClientRejection rejection);
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
   AddressList MakeAddressList(const DataCentre& caller) const;
   void UpdateSchedulerBackends();
@@ -90,9 +92,9 @@
   Settings m_settings;
   Incarnation m_incarnation;
   SystemBootClock m_clock;
-  /// Bytes of responses that are not passed on yet. Connections that are destroyed with the event
-  /// loop refer to it.
-  MemoryAccount m_response_memory;
+  /// Bytes of requests and responses that are not passed on yet. Connections that are destroyed
+  /// with the event loop refer to it.
+  MemoryAccount m_buffer_memory;
   EventLoop m_loop;
   std::shared_ptr<LogWriter> m_log_writer;
   Metrics m_metrics;
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -109,6 +109,8 @@
               "the status of a roll-out was written to the platform's store, or not"},
     EventInfo{kRolloutRejected, "rollout_rejected", kWarning,
               "an order for a roll-out cannot be used"},
+    EventInfo{kClientRejected, "client_rejected", kWarning,
+              "a client was turned away before its request was handled"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
--- a/src/kernel/memory-account.cc
+++ b/src/kernel/memory-account.cc
@@ -16,14 +16,19 @@
   if (m_account != nullptr) m_account->Update(*this, 0);
 }
 
+void MemoryAccount::Holder::Pin() {
+  if (m_account != nullptr && m_on_over_limit) m_account->m_evictable.erase({m_bytes, this});
+  m_on_over_limit = nullptr;
+}
+
 void MemoryAccount::Update(Holder& holder, std::size_t bytes) {
   if (bytes == holder.m_bytes) return;
   if (holder.m_on_over_limit) {
     m_evictable.erase({holder.m_bytes, &holder});
     if (bytes > 0) m_evictable.emplace(bytes, &holder);
   }
-  m_used += bytes;
-  m_used -= holder.m_bytes;
+  std::size_t& used_by_kind = m_used_by_kind.at(static_cast<std::size_t>(holder.m_kind));
+  for (std::size_t* used : {&m_used, &used_by_kind}) *used = *used + bytes - holder.m_bytes;
   holder.m_bytes = bytes;
 }
 
--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -50,15 +50,20 @@
   stream->m_is_connected = true;
   if (account != nullptr)
     stream->m_pending_holder = std::make_unique<MemoryAccount::Holder>(
-        account, [self = stream.get()] { self->End(StreamEndReason::kReset); });
+        account, [self = stream.get()] { self->End(StreamEndReason::kReset); },
+        BufferKind::kPendingWrite);
   stream->Attach(socket, keep_alive);
   return stream;
 }
 
 std::shared_ptr<TcpStream> TcpStream::Connect(EventLoop& loop, const Address& address,
                                               const TcpKeepAlive& keep_alive,
-                                              std::function<void()> on_connected) {
+                                              std::function<void()> on_connected,
+                                              MemoryAccount* account) {
   auto stream = std::make_shared<TcpStream>();
+  if (account != nullptr)
+    stream->m_pending_holder =
+        std::make_unique<MemoryAccount::Holder>(account, nullptr, BufferKind::kPendingWrite);
   stream->m_on_connected = std::move(on_connected);
   sockaddr_in target{};
   target.sin_family = AF_INET;
@@ -161,6 +166,13 @@
   return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+std::uint32_t TcpStream::PeerIp() const {
+  sockaddr_in name{};
+  socklen_t length = sizeof(name);
+  if (getpeername(Descriptor(), reinterpret_cast<sockaddr*>(&name), &length) != 0) return 0;
+  return name.sin_addr.s_addr;
+}
+
 int TcpStream::Descriptor() const { return m_socket == nullptr ? -1 : h2o_socket_get_fd(m_socket); }
 
 void TcpStream::CloseAfterWrites() {
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -49,9 +50,11 @@
   static std::shared_ptr<TcpStream> Accept(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive,
                                            MemoryAccount* account = nullptr);
   /// Starts to connect. A failure is reported to the end handler as kConnectFailed.
+  /// @param account counts the bytes that wait to be sent, without a limit
   static std::shared_ptr<TcpStream> Connect(EventLoop& loop, const Address& address,
                                             const TcpKeepAlive& keep_alive,
-                                            std::function<void()> on_connected);
+                                            std::function<void()> on_connected,
+                                            MemoryAccount* account = nullptr);
 
   /// Starts reading. The handler must consume all bytes of each call.
   void Read(ReadHandler handler) {
@@ -75,6 +78,8 @@
   /// Checks the socket for input that the loop has not read yet.
   /// @return true if the peer has sent bytes, closed or reset the connection
   bool HasUnreadInput() const;
+  /// @return the IPv4 address of the other side in network byte order; 0 if unknown
+  std::uint32_t PeerIp() const;
   /// @return the file descriptor, or -1 if the stream is closed
   int Descriptor() const;
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -300,7 +300,7 @@
   BOOST_TEST(settings.metrics_listen.Text() == "10.1.0.25:7615");
   BOOST_TEST((settings.stop_grace == Millis{8'000}));
   BOOST_TEST(settings.max_descriptors == 4'100U);
-  BOOST_TEST(settings.max_response_memory == 40U << 20U);
+  BOOST_TEST(settings.max_buffer_memory == 40U << 20U);
   BOOST_TEST((settings.max_revocation_delay == Millis{5'000}));
   BOOST_TEST(settings.quota_slack == 140'000);
   for (const char* line :
