Refuse requests to overloaded plain services early and serve new ones first

cause: the scheduler expected 1 ms of slot time for each request of a plain service and 60 s of patience. Its predicted wait was always too small: nothing was refused, requests waited until their time-out, and all that were served had become late.

what was ruled out: serving callers that return after a refusal first. They are late already, so that would make new requests late as well.

change: the slot time of plain services is learned by route (ServiceLoad). While more work arrives than can be served, requests that will be late yield to new ones and are refused at once. A request counts as late from the first attempt of its caller on, which follows from its stated time: configured times recur exactly, what remains of them does not (CallerDeadlines). Retry-After stays within the third of the remaining time that callers wait, and is spread so that they do not come back together.

--- a/src/gateway/call/call-submit.cc
+++ b/src/gateway/call/call-submit.cc
@@ -36,6 +36,7 @@
                      : m_route->rank;
   // The caller of a stream that has started waits for its next event, however long ago it came.
   request.arrived = HasResponseStarted() ? m_last_event_at : m_arrived_at;
+  if (!HasResponseStarted()) request.caller_age = m_caller_age;
   request.latency_objective = m_route->latency_objective;
   request.deadline = m_deadline;
   request.prompt_tokens = m_request.prompt_tokens.value_or(0);
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -142,7 +142,10 @@
 
 void Call::SetDeadline() {
   Millis time_limit = kMaxCallDuration;
-  if (m_request.deadline) time_limit = std::min(time_limit, *m_request.deadline);
+  if (m_request.deadline) {
+    time_limit = std::min(time_limit, *m_request.deadline);
+    m_caller_age = m_context.caller_deadlines.AgeOf(m_route->name, *m_request.deadline);
+  }
   if (m_route->timeout > Millis{0}) time_limit = std::min(time_limit, m_route->timeout);
   m_deadline = m_arrived_at + time_limit;
   m_timer.Start(std::max(RemainingTime(), Millis{1}),
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -9,6 +9,7 @@
 #include "bluebellpass/timer.h"
 #include "event-splitter.h"
 #include "gap-sample.h"
+#include "gateway/decisions/caller-deadlines.h"
 #include "gateway/decisions/quota.h"
 #include "gateway/fleet/dispatcher.h"
 #include "gateway/protocol.h"
@@ -42,6 +43,7 @@
   Metrics& metrics;
   MemoryAccount& buffer_memory;
   const RolloutController& rollouts;
+  CallerDeadlines& caller_deadlines;
 };
 
 /// Proxies one attempt of a caller: resolves its route, queues it for a backend server, sends it
@@ -135,6 +137,7 @@
   const Organisation* m_organisation = nullptr;
   ServiceName m_service;
   TimePoint m_arrived_at;
+  Millis m_caller_age{0};  ///< from the caller's first attempt until the arrival
   TimePoint m_deadline;
   Timer m_timer;
   Timer m_backpressure_timer;
--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -54,17 +54,35 @@
 constexpr Millis kNoBackendRetryAfter{500};
 constexpr Millis kPrefillRecheckPeriod{20};
 
+// Callers come back after this part of their remaining time even if they are told a later time.
+constexpr double kMaxRetryFraction = 1.0 / 3;
+// Smallest part of that time that is told. Without the spread, all callers whose wait is longer
+// would come back at the same moment.
+constexpr double kMinSpread = 0.6;
 // Number of different retry times for callers that are refused at the same time.
-constexpr std::uint64_t kRetrySpreadSteps = 64;
-
-/// Adds jitter, so that callers that are refused at the same time do not retry at the same time.
-Millis SpreadRetryAfter(Millis wait, const AttemptId& id) {
-  const auto step = static_cast<Millis::rep>(StableHash(id.Text()) % kRetrySpreadSteps);
-  return wait + wait * step / static_cast<Millis::rep>(kRetrySpreadSteps);
+constexpr std::uint64_t kRetrySpreadSteps = 1'024;
+
+/// @return the time after which a refused caller should come back, different for callers that are
+/// refused at the same time
+/// @param wait_ms expected wait of the request
+Millis RetryAfter(double wait_ms, const RequestInfo& request, TimePoint now) {
+  const double spread = static_cast<double>(StableHash(request.id.Text()) % kRetrySpreadSteps) /
+                        static_cast<double>(kRetrySpreadSteps);
+  const double wanted_ms =
+      std::clamp(wait_ms, MillisOf(kMinRetryAfter), MillisOf(kMaxRetryAfter)) * (1 + spread);
+  const double max_ms = MillisOf(request.deadline - now) * kMaxRetryFraction;
+  if (wanted_ms <= max_ms) return ToMillis(wanted_ms);
+  return ToMillis(std::max(max_ms, 0.0) * (kMinSpread + (1 - kMinSpread) * spread));
 }
 
 }  // namespace
 
+bool Scheduler::IsPlain(const ServiceName& service) const {
+  const auto backends = m_backends_by_service.find(service);
+  return backends != m_backends_by_service.end() && !backends->second.empty() &&
+         !backends->second.begin()->second->is_engine;
+}
+
 int Scheduler::GrantableSlots(const TrackedBackend& state) const {
   const auto slots = static_cast<std::size_t>(std::max(state.backend.slots, 1));
   if (m_share_count == 1) return static_cast<int>(slots);
@@ -78,6 +96,8 @@
 Scheduler::Capacity Scheduler::CapacityOf(const ServiceName& service, TimePoint now,
                                           Decisions& decisions) {
   Capacity capacity;
+  capacity.load = &m_loads[service];
+  capacity.is_plain = IsPlain(service);
   capacity.fastest.decode_ms_per_token = std::numeric_limits<double>::max();
   const auto ids = m_backends_by_service.find(service);
   if (ids == m_backends_by_service.end()) return capacity;
@@ -146,6 +166,10 @@
   SpeedModel speed;
   speed.prefill_ratio = m_prefill_ratio;
   waiting.slot_time_ms = SlotTimeMs(request, speed);
+  ServiceLoad& load = m_loads[request.service];
+  load.RecordArrival(
+      IsPlain(request.service) ? load.SlotTimeMs(request.route) : waiting.slot_time_ms,
+      request.arrived);
   waiting.balance = &m_size_balances[RequestKind{request.service, request.route, request.rank}];
   const auto tokens = static_cast<double>(request.prompt_tokens +
                                           kPromptTokensPerOutputToken * request.output_tokens) +
@@ -158,7 +182,9 @@
 }
 
 bool Scheduler::IsLate(const RequestInfo& request, const Capacity& capacity, TimePoint now) {
-  return MillisOf(now - request.arrived) + ResponseTimeMs(request, capacity) >
+  const double response_ms = capacity.is_plain ? capacity.load->MostSlotTimeMs(request.route)
+                                               : ResponseTimeMs(request, capacity);
+  return MillisOf(now - request.arrived + request.caller_age) + response_ms >
          MillisOf(request.latency_objective);
 }
 
@@ -168,10 +194,15 @@
   ranked.reserve(queue.size());
   for (WaitingRequest* waiting : queue) {
     const bool is_late = IsLate(waiting->request, capacity, now);
-    const double score = waiting->value / waiting->slot_time_ms * (is_late ? kLateValueFactor : 1);
+    // Requests of a plain service weigh equally, whatever their route, since otherwise the fastest
+    // route would get all slots under overload.
+    const double slot_time_ms =
+        capacity.is_plain ? capacity.load->SlotTimeMs() : waiting->slot_time_ms;
+    const double score = waiting->value / slot_time_ms * (is_late ? kLateValueFactor : 1);
     ranked.push_back({waiting, score, 1, is_late});
   }
-  BoostUnderserved(ranked);
+  // Requests of plain services state no size.
+  if (!capacity.is_plain) BoostUnderserved(ranked);
   std::sort(ranked.begin(), ranked.end(), [](const RankedRequest& a, const RankedRequest& b) {
     if (a.score != b.score) return a.score > b.score;
     return a.waiting->ArrivalOrder() < b.waiting->ArrivalOrder();
@@ -228,7 +259,7 @@
   const double waited_ms = MillisOf(now - request.arrived) + MillisOf(kDispatchLatency);
   TimeBounds bounds;
   bounds.first_event_ms = (is_late ? MillisOf(request.patience) * kPatienceFraction
-                                   : MillisOf(request.latency_objective)) -
+                                   : MillisOf(request.latency_objective - request.caller_age)) -
                           waited_ms;
   bounds.total_ms = std::max(
       MillisOf(request.deadline - now) * kDeadlineFraction,
@@ -331,11 +362,13 @@
 }
 
 double Scheduler::SlotTimeOf(const WaitingRequest& waiting, const Capacity& capacity) const {
-  return SlotTimeMs(waiting.request, capacity.fastest);
+  return capacity.is_plain ? capacity.load->SlotTimeMs(waiting.request.route)
+                           : SlotTimeMs(waiting.request, capacity.fastest);
 }
 
 double Scheduler::ResponseTimeMs(const RequestInfo& request, const Capacity& capacity) {
-  return capacity.fastest.PrefillMs(request.prompt_tokens);
+  return capacity.is_plain ? capacity.load->SlotTimeMs(request.route)
+                           : capacity.fastest.PrefillMs(request.prompt_tokens);
 }
 
 Scheduler::WaitPrediction Scheduler::PredictWait(const RankedRequest& ranked, double work_ahead_ms,
@@ -343,9 +376,18 @@
   const RequestInfo& request = ranked.waiting->request;
   const double response_ms = ResponseTimeMs(request, capacity);
   const double waited_ms = MillisOf(now - request.arrived);
+  const double remaining_ms = MillisOf(request.deadline - now);
+  QueueAhead ahead{work_ahead_ms * kWaitSafetyFactor, std::max(capacity.effective_slots, 1.0), 0};
   WaitPrediction prediction;
-  prediction.wait_ms = work_ahead_ms * kWaitSafetyFactor / std::max(capacity.effective_slots, 1.0);
+  prediction.wait_ms = PredictWaitMs(ahead, false);
   prediction.max_wait_ms = MillisOf(request.patience) * kPatienceFraction - response_ms - waited_ms;
+  if (!capacity.is_plain) return prediction;
+  ahead.offered_slots = capacity.load->OfferedSlots(now);
+  const bool will_be_late = waited_ms + prediction.wait_ms + response_ms >
+                            MillisOf(request.latency_objective - request.caller_age);
+  prediction.yields_to_new = ranked.is_late || will_be_late;
+  prediction.wait_ms = PredictWaitMs(ahead, prediction.yields_to_new);
+  prediction.max_wait_ms = std::min(prediction.max_wait_ms, remaining_ms - response_ms);
   return prediction;
 }
 
@@ -422,21 +464,25 @@
     const WaitPrediction prediction = PredictWait(ranked, queued_ahead_ms, capacity, now);
     const bool is_too_late =
         prediction.max_wait_ms <= 0 || remaining_ms <= response_ms || exceeds_deadline;
-    if (is_too_late || (waiting->is_new && prediction.wait_ms > prediction.max_wait_ms)) {
+    // A prediction for a request that yields changes with each arrival, others hold.
+    const bool is_predicted = waiting->is_new || prediction.yields_to_new;
+    if (is_too_late || (is_predicted && prediction.wait_ms > prediction.max_wait_ms)) {
       waiting->balance->RecordRefusal(waiting->size, now);
       const double wait_ms = std::min(prediction.wait_ms, MillisOf(kMaxRetryAfter));
-      const Millis wait = std::clamp(ToMillis(wait_ms), kMinRetryAfter, kMaxRetryAfter);
       Refuse(*waiting, is_too_late ? RefusalReason::kTooLate : RefusalReason::kOverloaded,
-             SpreadRetryAfter(wait, request.id),
+             RetryAfter(wait_ms, request, now),
              {ranked_queue.size(), capacity.slots, capacity.free_slots, wait_ms, waiting->size,
               ranked.boost},
              decisions);
       continue;
     }
     waiting->is_new = false;
-    queued_ahead_ms += waiting->slot_time_ms * time_scale;
+    queued_ahead_ms += capacity.is_plain ? capacity.load->SlotTimeMs(request.route)
+                                         : waiting->slot_time_ms * time_scale;
     DecideBy(now +
              ToMillis(std::max(std::min(prediction.max_wait_ms, remaining_ms - response_ms), 1.0)));
+    if (capacity.is_plain && !ranked.is_late)
+      DecideBy(request.arrived + request.latency_objective - ToMillis(response_ms));
     // Engines may be able to take more requests once a prefill ends, before any run does.
     if (capacity.free_slots > 0) DecideBy(now + kPrefillRecheckPeriod);
   }
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -217,6 +217,10 @@
   EndPrefill(found->second);
   const Run run = std::move(found->second);
   m_runs.erase(found);
+  const bool has_run =
+      report.outcome == RunOutcome::kCompleted || report.outcome == RunOutcome::kFailed;
+  if (has_run && IsPlain(run.request.service))
+    m_loads[run.request.service].RecordSlotTime(run.request.route, MillisOf(now - run.started));
   Forget(run.request);
   const auto backend = m_backends.find(run.backend);
   if (backend == m_backends.end()) return;
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -16,6 +16,7 @@
 #include "crash-records.h"
 #include "failure-rate.h"
 #include "gateway/rollout/rollout-controller.h"
+#include "service-load.h"
 #include "size-balance.h"
 #include "speed-model.h"
 
@@ -30,6 +31,9 @@
   OrganisationId organisation;
   int rank = 0;  ///< 0 is the most urgent
   TimePoint arrived;
+  /// From the caller's first attempt until the arrival of this one. The objective counts from
+  /// there.
+  Millis caller_age{0};
   Millis latency_objective{0};  ///< target time from arrival to the first event of the response
   Millis max_event_gap{0};      ///< target maximum time between events; 0 means no bound
   Millis patience{0};           ///< from arrival; without an event by then, the caller disconnects
@@ -158,6 +162,9 @@
 /// - While slots are scarce, a request whose response could not be complete by its deadline on the
 ///   fastest backend server gets no slot. This handles responses that differ a hundredfold in
 ///   length.
+/// - Requests of plain services state no size, so the time that they occupy a slot is learned. When
+///   more of them arrive than can be served, new ones go first, and those that would be late are
+///   refused at once. This handles bursts at services with few slots.
 /// - A request that cannot start before its caller disconnects is refused as soon as that is known,
 ///   mostly on arrival, with the time after which the queue will have drained. This handles bursts
 ///   above the capacity.
@@ -281,6 +288,8 @@
     double effective_slots = 0;  ///< slots weighted by speed relative to the fastest
     SpeedModel fastest;
     double mean_failure_rate = 0;  ///< over the backend servers
+    const ServiceLoad* load = nullptr;
+    bool is_plain = false;  ///< the backend servers are no engines
 
     bool IsScarce() const;
   };
@@ -325,6 +334,7 @@
   /// @return a backend server of an unproven version that can take the request, or null
   const OpenBackend* ChooseProbe(const RequestInfo& request, const Capacity& capacity, bool is_late,
                                  TimePoint now) const;
+  bool IsPlain(const ServiceName& service) const;
   /// @return expected time in a slot, on the fastest backend server
   double SlotTimeOf(const WaitingRequest& waiting, const Capacity& capacity) const;
   /// @return expected time from the grant to the first event, or for a plain service to the
@@ -334,6 +344,7 @@
   struct WaitPrediction {
     double wait_ms = 0;
     double max_wait_ms = 0;
+    bool yields_to_new = false;  ///< it will be late, so new requests go first
   };
   WaitPrediction PredictWait(const RankedRequest& ranked, double work_ahead_ms,
                              const Capacity& capacity, TimePoint now) const;
@@ -376,6 +387,7 @@
   std::map<AttemptId, Run> m_runs;
   std::map<InstanceId, std::set<AttemptId>> m_requests_by_home;  ///< waiting or running
   std::map<RequestKind, SizeBalance> m_size_balances;
+  std::map<ServiceName, ServiceLoad> m_loads;
   double m_prefill_ratio = kInitialPrefillRatio;
   TimePoint m_next_stall_check{};
   std::optional<TimePoint> m_next_decision;
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -149,7 +149,7 @@
         ToMillis(request.deadline - m_now), request.prompt_tokens, request.output_tokens,
         request.max_event_gap.count(), request.patience.count(), m_builder.CreateVector(excluded),
         request.quota_cost, request.fingerprint, request.is_retry, request.is_retryable,
-        Encode(request.route), m_builder.CreateVector(shared_parts));
+        Encode(request.route), m_builder.CreateVector(shared_parts), request.caller_age.count());
   }
 
   FlatBufferBuilder& m_builder;
@@ -334,6 +334,7 @@
     request.is_retry = table->is_repeat();
     request.is_retryable = table->may_repeat();
     request.route = DecodeText(table->route());
+    request.caller_age = DecodeMillis(table->caller_age_ms());
     if (table->shared_parts() != nullptr)
       for (const wire::FingerprintT* part : *table->shared_parts())
         request.shared_parts.emplace_back(part->value());
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -257,7 +257,8 @@
     VT_IS_REPEAT = 32,
     VT_MAY_REPEAT = 34,
     VT_ROUTE = 36,
-    VT_SHARED_PARTS = 38
+    VT_SHARED_PARTS = 38,
+    VT_CALLER_AGE_MS = 40
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *service() const {
@@ -290,6 +291,7 @@
     return GetPointer<const flatbuffers::Vector<
         flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>> *>(VT_SHARED_PARTS);
   }
+  int64_t caller_age_ms() const { return GetField<int64_t>(VT_CALLER_AGE_MS, 0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_SERVICE) &&
@@ -310,7 +312,7 @@
            VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) && VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) && VerifyOffset(verifier, VT_SHARED_PARTS) &&
            verifier.VerifyVector(shared_parts()) && verifier.VerifyVectorOfTables(shared_parts()) &&
-           verifier.EndTable();
+           VerifyField<int64_t>(verifier, VT_CALLER_AGE_MS, 8) && verifier.EndTable();
   }
 };
 
@@ -370,6 +372,9 @@
           shared_parts) {
     fbb_.AddOffset(WorkT::VT_SHARED_PARTS, shared_parts);
   }
+  void add_caller_age_ms(int64_t caller_age_ms) {
+    fbb_.AddElement<int64_t>(WorkT::VT_CALLER_AGE_MS, caller_age_ms, 0);
+  }
   explicit WorkTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -391,8 +396,10 @@
     bool may_repeat = false, flatbuffers::Offset<flatbuffers::String> route = 0,
     flatbuffers::Offset<
         flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
-        shared_parts = 0) {
+        shared_parts = 0,
+    int64_t caller_age_ms = 0) {
   WorkTBuilder builder_(_fbb);
+  builder_.add_caller_age_ms(caller_age_ms);
   builder_.add_fingerprint(fingerprint);
   builder_.add_quota_cost(quota_cost);
   builder_.add_patience_ms(patience_ms);
@@ -423,7 +430,8 @@
     double quota_cost = 0.0, uint64_t fingerprint = 0, bool is_repeat = false,
     bool may_repeat = false, const char *route = nullptr,
     const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>
-        *shared_parts = nullptr) {
+        *shared_parts = nullptr,
+    int64_t caller_age_ms = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
@@ -438,7 +446,7 @@
   return bluebellpass::gateway::wire::CreateWorkT(
       _fbb, id__, service__, organisation__, rank, age_ms, objective_ms, remaining_ms,
       prompt_tokens, output_tokens, max_gap_ms, patience_ms, excluded__, quota_cost, fingerprint,
-      is_repeat, may_repeat, route__, shared_parts__);
+      is_repeat, may_repeat, route__, shared_parts__, caller_age_ms);
 }
 
 struct RunT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -394,7 +394,7 @@
   }
   const CallContext context{m_loop,          *m_platform.protocol,     m_routing_state,   m_fleet,
                             m_pool,          m_retry_budgets,          m_backend_notices, m_metrics,
-                            m_buffer_memory, m_coordinator.Rollouts()};
+                            m_buffer_memory, m_coordinator.Rollouts(), m_caller_deadlines};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -111,6 +111,7 @@
   HttpConnectionPool m_pool;
   RetryBudgets m_retry_budgets;
   BackendNotices m_backend_notices;
+  CallerDeadlines m_caller_deadlines;
   Http1Server m_caller_server;
   Http1Server m_ready_server;
   Http1Server m_directory_server;
