Test roll-outs with gateway processes and a store that fails

cause: roll-outs were tested without a network only. Nothing covered the status writes, the relay of orders and the change of coordinators in real processes.

The store stand-in writes statuses on the condition of the revision and has `created` in `meta`; settings files of gateway processes may name bounds and contracts.

before and after: no such test before.

--- a/test/gateway-process.h
+++ b/test/gateway-process.h
@@ -27,7 +27,10 @@
 
 /// A gateway process with a settings file and a log of its own.
 struct GatewayProcess {
-  GatewayProcess(const std::string& folder, const std::string& id, const Address& store)
+  /// @param bounds further lines of the map `bounds`, indented by two spaces
+  /// @param contracts parts of the platform's rules in force, separated by commas
+  GatewayProcess(const std::string& folder, const std::string& id, const Address& store,
+                 const std::string& bounds = "", const std::string& contracts = "")
       : name(id), settings_path(folder + "/" + id + ".yaml"), log_path(folder + "/" + id + ".log") {
     std::ofstream(settings_path) << "node: " << id
                                  << "\nip: 127.0.0.1\nlisten:\n  front: " << front.Text()
@@ -35,8 +38,9 @@
                                  << "\n  directory: " << directory.Text() << "\nport_range: ["
                                  << peer_port << ", " << metrics.port
                                  << "]\nbounds:\n  grace_s: 8\n  retry_ratio: 1\n  retry_slack: "
-                                    "50\nplatform:\n  addr: "
-                                 << store.Text() << "\n";
+                                    "50\n"
+                                 << bounds << "contracts: [" << contracts
+                                 << "]\nplatform:\n  addr: " << store.Text() << "\n";
   }
   void Start() {
     process = Process({std::string(BLUEBELLPASS_BINARY_DIR) + "/bluebellpass", "gateway",
--- a/test/soak/store-standin.cc
+++ b/test/soak/store-standin.cc
@@ -13,6 +13,7 @@
 constexpr Millis kWatchPeriod{5};
 constexpr Millis kSlowDelay{240};
 constexpr int kLostResponsePercent = 35;
+constexpr std::string_view kStatusSuffix = "/status";
 
 std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
   const std::size_t at = target.find(name + "=");
@@ -33,7 +34,10 @@
 }
 
 json StoreStandin::Encode(const std::string& name, const Object& object) const {
-  return {{"meta", {{"name", name}, {"rev", object.revision}}}, {"spec", object.spec}};
+  json result = {{"meta", {{"name", name}, {"rev", object.revision}, {"created", object.created}}},
+                 {"spec", object.spec}};
+  if (!object.status.is_null()) result["status"] = object.status;
+  return result;
 }
 
 void StoreStandin::RecordChange(const std::string& kind, json event) {
@@ -44,6 +48,7 @@
   Object& object = m_objects[kind][name];
   if (object.revision != 0 && object.spec == spec) return;
   object.revision = ++m_revision;
+  if (object.created == 0) object.created = object.revision;
   object.spec = std::move(spec);
   RecordChange(kind, {{"deleted", false}, {"object", Encode(name, object)}});
 }
@@ -57,6 +62,25 @@
   objects.erase(found);
 }
 
+json StoreStandin::StatusOf(const std::string& kind, const std::string& name) const {
+  const auto objects = m_objects.find(kind);
+  if (objects == m_objects.end()) return nullptr;
+  const auto found = objects->second.find(name);
+  return found == objects->second.end() ? json() : found->second.status;
+}
+
+int StoreStandin::WriteStatus(const std::string& kind, const std::string& name, const json& body) {
+  auto& objects = m_objects[kind];
+  const auto found = objects.find(name);
+  if (found == objects.end()) return 404;
+  Object& object = found->second;
+  if (body["meta"]["rev"] != object.revision) return 409;
+  object.revision = ++m_revision;
+  object.status = body["status"];
+  RecordChange(kind, {{"deleted", false}, {"object", Encode(name, object)}});
+  return 200;
+}
+
 void StoreStandin::Compact() {
   m_oldest_revision = m_revision;
   m_history.clear();
@@ -122,15 +146,20 @@
     return Respond(exchange, 200, json::object());
   }
   const json body = json::parse(exchange->Body(), nullptr, false);
-  if (head.method == "POST") {
+  if (head.method == "PUT" && name.ends_with(kStatusSuffix)) {
+    object_name.resize(name.size() - kStatusSuffix.size());
+    status = WriteStatus(kind, object_name, body);
+    if (status != 200) return Respond(exchange, status, json::object());
+  } else if (head.method == "POST") {
     object_name = body["meta"]["name"].get<std::string>();
     if (objects.contains(object_name))
       return Respond(exchange, 409, Encode(object_name, objects[object_name]));
     status = 201;
-  } else if (!objects.contains(name)) {
-    return Respond(exchange, 404, json::object());
+    Put(kind, object_name, body["spec"]);
+  } else {
+    if (!objects.contains(name)) return Respond(exchange, 404, json::object());
+    Put(kind, object_name, body["spec"]);
   }
-  Put(kind, object_name, body["spec"]);
   const bool is_lost_by_kind = m_lost_writes[kind] > 0;
   if (is_lost_by_kind) --m_lost_writes[kind];
   if (is_lost_by_kind ||
--- a/test/soak/store-standin.h
+++ b/test/soak/store-standin.h
@@ -39,12 +39,16 @@
   /// Writes an object as the operator or an engine does, bypassing faults.
   void Put(const std::string& kind, const std::string& name, nlohmann::json spec);
   void Delete(const std::string& kind, const std::string& name);
+  /// @return the status of an object; null without one
+  nlohmann::json StatusOf(const std::string& kind, const std::string& name) const;
   std::uint64_t CallCount() const { return m_call_count; }
 
  private:
   struct Object {
+    std::uint64_t created = 0;  ///< revision of its creation
     std::uint64_t revision = 0;
     nlohmann::json spec;
+    nlohmann::json status;
   };
   struct Change {
     std::uint64_t revision = 0;
@@ -62,6 +66,9 @@
   void Execute(const std::shared_ptr<HttpExchange>& exchange);
   void HandleWrite(const std::shared_ptr<HttpExchange>& exchange, const std::string& kind,
                    const std::string& name);
+  /// Writes the status of an object if its revision is the one in the body.
+  /// @return the status code of the response
+  int WriteStatus(const std::string& kind, const std::string& name, const nlohmann::json& body);
   void Respond(const std::shared_ptr<HttpExchange>& exchange, int status,
                const nlohmann::json& body);
   void UpdateWatches();
