Show roll-outs to operators

cause: operators could follow a roll-out only in the log, and its status shows neither shares nor results by version.

The metrics address answers this one command at POST /v1/command, and GET /v1/rollouts with the same JSON. Gauges gateway_rollout_* have the same numbers, and gateway_rollout_state the state as a label; series of earlier states and orders are removed. `serve` refuses the topic with an error that names the gateway. The rows' filter and the error object are shared by both (cli/command).

before and after: no such view before.

conclusion: results by version are those of the instance that is asked; only the coordinator has all of them.

--- a/src/cli/client.cc
+++ b/src/cli/client.cc
@@ -40,14 +40,8 @@
       : m_is_json(is_json), m_out(out), m_err(err) {}
 
   ClientExit PrintError(const Error& error, ClientExit exit) {
-    const ErrorInfo& info = GetErrorInfo(error.kind);
-    const Json json = {{"error",
-                        {{"kind", info.name},
-                         {"message", error.message},
-                         {"field", error.field},
-                         {"outcome", OutcomeName(info.outcome)}}}};
     if (m_is_json) {
-      m_out << FormatJson(json) << "\n";
+      m_out << FormatJson(MakeErrorObject(error)) << "\n";
     } else {
       m_err << error.message << "\n";
     }
--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -4,14 +4,15 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <nlohmann/json.hpp>
 
 #include "cli/grammar.h"
 
 namespace bluebellpass {
 namespace {
 
-constexpr std::array<std::string_view, 7> kTopics = {
-    "waiting", "running", "refused", "backends", "instances", "config", "quarantine"};
+constexpr std::array<std::string_view, 8> kTopics = {
+    "waiting", "running", "refused", "backends", "instances", "config", "quarantine", "rollouts"};
 constexpr std::size_t kMaxShownWordLength = 40;
 constexpr int kHexBase = 16;
 constexpr std::size_t kFingerprintDigits = 16;
@@ -68,6 +69,23 @@
   return kTopics.at(static_cast<std::size_t>(topic));
 }
 
+bool MatchesAll(const nlohmann::ordered_json& row, const std::vector<Condition>& conditions) {
+  return std::all_of(conditions.begin(), conditions.end(), [&](const Condition& condition) {
+    const auto found = row.find(condition.field);
+    if (found == row.end()) return false;
+    return (found->is_string() ? found->get<std::string>() : found->dump()) == condition.value;
+  });
+}
+
+nlohmann::ordered_json MakeErrorObject(const Error& error) {
+  const ErrorInfo& info = GetErrorInfo(error.kind);
+  return {{"error",
+           {{"kind", info.name},
+            {"message", error.message},
+            {"field", error.field},
+            {"outcome", OutcomeName(info.outcome)}}}};
+}
+
 std::string FormatFingerprint(Fingerprint fingerprint) {
   std::array<char, kFingerprintDigits> digits{};
   const auto [end, code] =
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -15,7 +16,16 @@
 namespace bluebellpass {
 
 /// The objects that `show` can list.
-enum class ShowTopic { kWaiting, kRunning, kRefused, kBackends, kInstances, kConfig, kQuarantine };
+enum class ShowTopic {
+  kWaiting,
+  kRunning,
+  kRefused,
+  kBackends,
+  kInstances,
+  kConfig,
+  kQuarantine,
+  kRollouts,  ///< of the gateway only
+};
 
 /// A FIELD=VALUE of a `where` clause. A row is listed if it meets all conditions.
 struct Condition {
@@ -84,6 +94,12 @@
 /// @return "waiting", "running" and so on
 std::string_view ShowTopicName(ShowTopic topic);
 
+/// @return true if the row meets all conditions
+bool MatchesAll(const nlohmann::ordered_json& row, const std::vector<Condition>& conditions);
+
+/// @return the reply to a command that failed: an object `error` with kind, message, field, outcome
+nlohmann::ordered_json MakeErrorObject(const Error& error);
+
 /// @return the fingerprint as 16 hexadecimal digits, the format that `release` accepts
 std::string FormatFingerprint(Fingerprint fingerprint);
 
--- a/src/cli/grammar.cc
+++ b/src/cli/grammar.cc
@@ -84,7 +84,7 @@
 
 auto TopicSymbols() {
   x3::symbols<ShowTopic> topics;
-  for (int i = 0; i <= static_cast<int>(ShowTopic::kQuarantine); ++i) {
+  for (int i = 0; i <= static_cast<int>(ShowTopic::kRollouts); ++i) {
     const auto topic = static_cast<ShowTopic>(i);
     topics.add(std::string(ShowTopicName(topic)), topic);
   }
@@ -115,7 +115,8 @@
     return ShowCommand{std::get<ShowCommand>(*state.command).topic, state.conditions};
   });
   return Keyword("show") >>
-         Expect(error, "waiting, running, refused, backends, instances, config or quarantine",
+         Expect(error,
+                "waiting, running, refused, backends, instances, config, quarantine or rollouts",
                 x3::lexeme[TopicSymbols()[set_topic] >> !kNameCharacter]) >>
          -ConditionsGrammar(error, state) >> set_command;
 }
--- a/src/front/operator-task.cc
+++ b/src/front/operator-task.cc
@@ -19,15 +19,6 @@
   return object.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n";
 }
 
-ordered_json MakeErrorObject(const Error& error) {
-  const ErrorInfo& info = GetErrorInfo(error.kind);
-  return {{"error",
-           {{"kind", info.name},
-            {"message", error.message},
-            {"field", error.field},
-            {"outcome", OutcomeName(info.outcome)}}}};
-}
-
 void SendError(const OperatorTask::ReplyFunction& reply, const Error& error) {
   reply(GetErrorInfo(error.kind).http_status, FormatJson(MakeErrorObject(error)));
 }
@@ -38,17 +29,6 @@
          topic == ShowTopic::kQuarantine;
 }
 
-std::string FormatValue(const ordered_json& value) {
-  return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
-bool MatchesAll(const ordered_json& row, const std::vector<Condition>& conditions) {
-  return std::all_of(conditions.begin(), conditions.end(), [&](const Condition& condition) {
-    const auto found = row.find(condition.field);
-    return found != row.end() && FormatValue(*found) == condition.value;
-  });
-}
-
 std::string_view MemberStateName(MemberState state) {
   switch (state) {
     case MemberState::kAlive:
@@ -78,6 +58,8 @@
       return {"kind", "name"};
     case ShowTopic::kQuarantine:
       return {"fingerprint", "deaths", "state"};
+    case ShowTopic::kRollouts:
+      break;
   }
   return {};
 }
@@ -131,6 +113,11 @@
 
 void OperatorTask::ExecuteShow(const ShowCommand& command, const std::string& text,
                                ReplyFunction reply) {
+  if (command.topic == ShowTopic::kRollouts)
+    return SendError(reply, {ErrorKind::kBadCommand,
+                             "roll-outs belong to the gateway: use the metrics address of a "
+                             "gateway instance as the entry",
+                             "rollouts"});
   if (const auto error = CheckConditionFields(command)) return SendError(reply, *error);
   const std::uint64_t exchange = m_next_exchange++;
   auto query = std::make_unique<PendingQuery>(m_context.loop);
@@ -246,6 +233,8 @@
     case ShowTopic::kQuarantine:
       rows = MakeQuarantineRows();
       break;
+    case ShowTopic::kRollouts:
+      break;
   }
   ordered_json matching_rows = ordered_json::array();
   for (const auto& row : rows) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "bluebellpass/event.h"
+#include "gateway/rollout/rollout-report.h"
 
 namespace bluebellpass::gateway {
 namespace {
@@ -28,6 +29,8 @@
 // Reserved for delivering the last responses before the platform kills the process.
 constexpr Millis kStopMargin{700};
 constexpr char kEventsPath[] = "/v1/events";
+constexpr char kCommandPath[] = "/v1/command";
+constexpr char kRolloutsPath[] = "/v1/rollouts";
 // Bounds the age of the last freshness confirmation, which must be far below the maximum revocation
 // delay.
 constexpr Millis kMaxWatchWait{1'500};
@@ -457,6 +460,13 @@
     return exchange->Send(kOk, {{"Content-Type", "application/x-ndjson"}},
                           RecordedEvents(after, kMaxRecordedEvents));
   }
+  const auto rollouts = m_coordinator.Rollouts().Summaries(m_loop.Now());
+  if (target == kCommandPath || target == kRolloutsPath) {
+    const CommandReply reply = target == kCommandPath ? AnswerCommand(exchange->Body(), rollouts)
+                                                      : CommandReply{kOk, EncodeRollouts(rollouts)};
+    return exchange->Send(reply.status, {{"Content-Type", "application/json"}}, reply.body);
+  }
+  SetRolloutMetrics(m_metrics, rollouts);
   m_metrics.SetGauge("gateway_log_dropped_lines",
                      static_cast<double>(m_log_writer->DroppedLines()));
   m_metrics.SetGauge("gateway_response_memory_bytes",
--- a/src/kernel/metrics.cc
+++ b/src/kernel/metrics.cc
@@ -67,6 +67,8 @@
   m_gauges[name][labels] = value;
 }
 
+void Metrics::ClearGauge(const std::string& name) { m_gauges.erase(name); }
+
 void Metrics::ObserveSummary(const std::string& name, double value, const std::string& labels) {
   auto& summary = m_summaries[name][labels];
   if (!summary) summary = std::make_unique<Summary>();
--- a/src/kernel/metrics.h
+++ b/src/kernel/metrics.h
@@ -25,6 +25,9 @@
   /// Sets a gauge.
   void SetGauge(const std::string& name, double value, const std::string& labels = "");
 
+  /// Removes all values of a gauge, so that labels that no longer occur are not rendered.
+  void ClearGauge(const std::string& name);
+
   /// Adds an observation to a summary with the quantiles 0.5, 0.95 and 0.99.
   void ObserveSummary(const std::string& name, double value, const std::string& labels = "");
 
--- a/src/main.cc
+++ b/src/main.cc
@@ -24,13 +24,14 @@
        bluebellpass COMMAND... [--json] [--entry ip:port]
 
 Operators' commands:
-  show waiting|running|refused|backends|instances|config|quarantine
+  show waiting|running|refused|backends|instances|config|quarantine|rollouts
        [where FIELD=VALUE [and FIELD=VALUE]...]
   set tier NAME rank N | set tier NAME share N | set organisation NAME weight N
   drain backend NAME | activate backend NAME
   shift pool NAME from DATACENTRE to DATACENTRE percent N
   release FINGERPRINT
   load backend NAME model MODEL [version VERSION]
+rollouts: of the gateway, whose entry is the metrics address of an instance.
 
 Exit codes: 0 done, 1 refused or failed, 2 usage, 3 partial answer.
 )";
--- a/test/cli-test.cc
+++ b/test/cli-test.cc
@@ -144,6 +144,9 @@
 BOOST_FIXTURE_TEST_CASE(ExitCodesTellTheOutcome, Fixture) {
   WaitForMembers();
   BOOST_TEST(RunProgram({"show", "backends", "--entry", first}).code == 0);
+  const RunResult rollouts = RunProgram({"show", "rollouts", "--entry", first});
+  BOOST_TEST(rollouts.code == 1);
+  BOOST_TEST(rollouts.text.find("roll-outs belong to the gateway") != std::string::npos);
   BOOST_TEST(RunProgram({"drain", "backend", "engine1", "--entry", first}).code == 0);
   const RunResult refused = RunProgram({"drain", "backend", "engine9", "--entry", first});
   BOOST_TEST(refused.code == 1);
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -41,8 +41,8 @@
 
 // Guards against a command that is parsed as another one, or without one of its values.
 BOOST_AUTO_TEST_CASE(EachCommandIsParsed) {
-  for (const char* topic :
-       {"waiting", "running", "refused", "backends", "instances", "config", "quarantine"}) {
+  for (const char* topic : {"waiting", "running", "refused", "backends", "instances", "config",
+                            "quarantine", "rollouts"}) {
     BOOST_TEST(ShowTopicName(ParseAs<ShowCommand>("show " + std::string(topic)).topic) == topic);
   }
   const auto show = ParseAs<ShowCommand>(
--- a/test/gateway-rollout-test.cc
+++ b/test/gateway-rollout-test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cli/client.h"
 #include "gateway-process.h"
 #include "platform/names.h"
 #include "soak/engine-standin.h"
@@ -165,6 +166,15 @@
     coordinator->process.Kill();
     std::erase(entries, coordinator->front);
   }
+  /// @return the rows of an operators' command, sent to the metrics address of a gateway
+  json Show(const GatewayProcess& gateway) {
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto exit = RunClient(
+        loop, {"show", "rollouts", "--json", "--entry", gateway.metrics.Text()}, {}, out, err);
+    BOOST_TEST((exit == ClientExit::kSuccess), out.str() << err.str());
+    return json::parse(out.str(), nullptr, false).value("rows", json());
+  }
   void InterruptStore() {
     store.SetFault(StoreStandin::Fault::kSilent);
     RunFor(kStoreOutage);
@@ -186,6 +196,18 @@
   CheckOutcome("reverted");
   CheckExposure();
   BOOST_TEST(LogsContain("\"state\":\"reverted\""));
+  const GatewayProcess* coordinator = Coordinator();
+  BOOST_REQUIRE(coordinator != nullptr);
+  const json rows = Show(*coordinator);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(rows[0]["state"] == "reverted");
+  BOOST_TEST(rows[0]["reason"] != "");
+  BOOST_TEST(rows[0]["target_failures"].get<int>() > 0);
+  const json same_rows = json::parse(Get(coordinator->metrics, "/v1/rollouts")->body)["rows"];
+  BOOST_TEST(same_rows[0]["reason"] == rows[0]["reason"]);
+  BOOST_TEST(Get(coordinator->metrics, "/metrics")
+                 ->body.find("gateway_rollout_state{service=\"desk\",target=\"v2\",state="
+                             "\"reverted\"} 1\n") != std::string::npos);
 }
 
 // Guards against a roll-out that ends with its coordinator.
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "gateway/rollout/rollout-controller.h"
+#include "gateway/rollout/rollout-report.h"
 #include "standins/rollout-play.h"
 
 /// Roll-outs without a network: their exposure, verdicts and ends.
@@ -382,6 +384,47 @@
   BOOST_TEST((entry.status->state == RolloutState::kDone));
 }
 
+// Guards against rows that a condition should leave out, and against commands that an instance of
+// the gateway accepts without executing them.
+BOOST_AUTO_TEST_CASE(OnlyShowRolloutsIsAnswered) {
+  gateway::RolloutSummary running;
+  running.order.service = kService;
+  running.share = 0.125;
+  gateway::RolloutSummary reverted = running;
+  reverted.state = RolloutState::kReverted;
+  const auto answer = [&](const std::string& text) {
+    const auto reply = gateway::AnswerCommand(text, {running, reverted});
+    return nlohmann::json::parse(reply.body);
+  };
+  BOOST_TEST(answer("show rollouts")["rows"].size() == 2U);
+  const auto rows = answer("show rollouts where state=reverted")["rows"];
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(rows[0]["service"] == kService.Text());
+  BOOST_TEST(rows[0]["share_percent"] == 13);
+  for (const char* text : {"show rollouts where colour=blue", "show waiting", "drain backend b",
+                           "show rollout", "", "release 1f"})
+    BOOST_TEST(answer(text)["error"]["kind"] == "bad_command", text);
+}
+
+// Guards against series of earlier states and orders, and against names that break the format.
+BOOST_AUTO_TEST_CASE(MetricsShowThePresentRolloutsOnly) {
+  Metrics metrics;
+  gateway::RolloutSummary rollout;
+  rollout.order.service = ServiceName("a\"b");
+  rollout.order.target = kTarget;
+  gateway::SetRolloutMetrics(metrics, {rollout});
+  rollout.state = RolloutState::kDone;
+  gateway::SetRolloutMetrics(metrics, {rollout});
+  const std::string labels = R"({service="a\"b",target=")" + kTarget.Text() + "\"";
+  const std::string text = metrics.Render();
+  BOOST_TEST(text.find("gateway_rollout_state" + labels + ",state=\"done\"} 1\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("running") == std::string::npos);
+  BOOST_TEST(text.find("gateway_rollout_exposure_limit" + labels + "} 0\n") != std::string::npos);
+  gateway::SetRolloutMetrics(metrics, {});
+  BOOST_TEST(metrics.Render().find("rollout") == std::string::npos);
+}
+
 // Guards against a deployment without roll-outs that is served differently.
 BOOST_AUTO_TEST_CASE(DisabledControllerAllowsEverything) {
   RolloutController controller;
