Take exposure only for requests that are granted

cause: the scheduler took a request from the exposure budget before the quota admitted it. A request that stayed queued for its quota used up the budget again at each decision, without being sent.

change: the budget is taken after admission.

conclusion: the bound was kept before too, but a roll-out could end as reverted without a result.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -398,7 +398,7 @@
   is_probe = false;
   if (!capacity.probes.empty() && m_rollouts->WantsTarget(request.service, request.id, now)) {
     const OpenBackend* open = ChooseProbe(request, capacity, ranked.is_late, now);
-    is_probe = open != nullptr && m_rollouts->TakeExposure(request.service, request.id, now);
+    is_probe = open != nullptr;
     if (is_probe) return open;
   }
   return capacity.free_slots > 0 ? ChooseBackend(request, capacity, ranked.is_late, now) : nullptr;
@@ -413,6 +413,8 @@
   if (open == nullptr || !admission.TryAdmit(request, now)) return false;
   TrackedBackend* state = open->state;
   if (is_probe) {
+    // Only now, since a request that is not admitted is not sent. WantsTarget has seen the budget.
+    m_rollouts->TakeExposure(request.service, request.id, now);
     ++state->probes;
   } else {
     --capacity.free_slots;
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "gateway/decisions/scheduler.h"
 #include "gateway/rollout/rollout-controller.h"
 #include "gateway/rollout/rollout-report.h"
 #include "standins/rollout-play.h"
@@ -121,6 +123,41 @@
   }
 };
 
+/// A scheduler that follows the roll-out of a ControllerFixture.
+struct SchedulerFixture : ControllerFixture, gateway::AdmissionControl {
+  gateway::Scheduler scheduler;
+  bool is_admitting = true;
+  int request_count = 0;
+
+  SchedulerFixture() {
+    scheduler.SetRollouts(&controller);
+    for (const auto& [id, version] : {std::pair("old", kOld), std::pair("new", kTarget)}) {
+      Backend backend = MakeBackend(id, version, 20);
+      backend.slots = 1'000;
+      controller.SetBackend(backend, now);
+      scheduler.SetBackend(backend, nullptr);
+    }
+    Order();
+    Advance(Millis{100});
+    Store();
+  }
+  bool TryAdmit(const gateway::RequestInfo&, TimePoint) override { return is_admitting; }
+  void Submit(int count, bool is_retry) {
+    for (int i = 0; i < count; ++i) {
+      gateway::RequestInfo request;
+      request.id = gateway::AttemptId("q" + std::to_string(++request_count));
+      request.service = kService;
+      request.arrived = now;
+      request.latency_objective = Millis{1'000};
+      request.patience = Millis{10'000};
+      request.deadline = now + Millis{10'000};
+      request.is_retry = is_retry;
+      scheduler.AddRequest(request);
+    }
+  }
+  std::vector<gateway::Grant> Decide() { return scheduler.Decide(now, *this).grants; }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(Play)
@@ -425,6 +462,18 @@
   BOOST_TEST(metrics.Render().find("rollout") == std::string::npos);
 }
 
+// Guards against requests that use up the budget while they stay queued for their quota.
+BOOST_FIXTURE_TEST_CASE(QueuedRequestsUseNoBudget, SchedulerFixture) {
+  is_admitting = false;
+  Submit(20, false);
+  for (int i = 0; i < 20; ++i) BOOST_TEST(Decide().empty());
+  is_admitting = true;
+  const auto grants = Decide();
+  BOOST_TEST(grants.size() == 20U);
+  BOOST_TEST(std::any_of(grants.begin(), grants.end(),
+                         [](const auto& grant) { return grant.backend.Text() == "new"; }));
+}
+
 // Guards against a deployment without roll-outs that is served differently.
 BOOST_AUTO_TEST_CASE(DisabledControllerAllowsEverything) {
   RolloutController controller;
