Count retries once in the requests of a roll-out

cause: total_requests counted each grant, so retries after failed responses raised the exposure bound. With attempts 3 and failures of both versions it could grow to three times what the callers sent.

change: only the first grant of a request counts.

Exposure still counts each send.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -425,7 +425,8 @@
                               {queue_size, capacity.slots, capacity.free_slots,
                                MillisOf(now - request.arrived), waiting.size, ranked.boost}});
   StartRun(request, *state, now);
-  if (m_rollouts != nullptr) m_rollouts->RecordGrant(state->backend);
+  // Retries of a request are not requests that reach the service.
+  if (m_rollouts != nullptr && !request.is_retry) m_rollouts->RecordGrant(state->backend);
   if (open->IsFull()) {
     std::vector<OpenBackend>& list = is_probe ? capacity.probes : capacity.open;
     list.erase(list.begin() + (open - list.data()));
--- a/src/gateway/rollout/rollout-controller.h
+++ b/src/gateway/rollout/rollout-controller.h
@@ -94,7 +94,7 @@
   /// Takes one request from the exposure budget.
   /// @return false when the budget is used up; the request must not go to the target then
   bool TakeExposure(const ServiceName& service, const AttemptId& id, TimePoint now);
-  /// Records that a request was granted to a backend server.
+  /// Records that a request was granted to a backend server for the first time.
   void RecordGrant(const Backend& backend);
   /// Records the result of a run. Cancelled runs and those that were not run are not recorded.
   void RecordResult(const ServiceName& service, const VersionResult& result, TimePoint now);
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -462,6 +462,14 @@
   BOOST_TEST(metrics.Render().find("rollout") == std::string::npos);
 }
 
+// Guards against retries that count as requests of callers, so that failures raise the budget.
+BOOST_FIXTURE_TEST_CASE(RetriesDoNotRaiseTheBudget, SchedulerFixture) {
+  Submit(5, true);
+  Submit(3, false);
+  BOOST_TEST(Decide().size() == 8U);
+  BOOST_TEST(controller.Summaries(now)[0].total_requests == 3U);
+}
+
 // Guards against requests that use up the budget while they stay queued for their quota.
 BOOST_FIXTURE_TEST_CASE(QueuedRequestsUseNoBudget, SchedulerFixture) {
   is_admitting = false;
