--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -90,6 +90,7 @@
   kRolloutStatusWritten = 620,
   kRolloutRejected = 621,
   kClientRejected = 622,
+  kStateReceived = 624,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -128,6 +128,34 @@
     return {wire::Item_RolloutVerdicts,
             wire::CreateRolloutVerdicts(m_builder, m_builder.CreateVector(verdicts)).Union()};
   }
+  Item operator()(const StateRequestMessage& message) {
+    std::vector<Offset<wire::HeldT>> held;
+    for (const HeldObject& object : message.held)
+      held.push_back(wire::CreateHeldT(m_builder, Encode(object.name), object.revision));
+    return {wire::Item_StateRequest,
+            wire::CreateStateRequest(m_builder, static_cast<std::uint8_t>(message.kind), message.id,
+                                     message.revision, m_builder.CreateVector(held),
+                                     message.holds_all, message.is_whole)
+                .Union()};
+  }
+  Item operator()(const StatePieceMessage& message) {
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(message.bytes.data());
+    return {wire::Item_StatePiece,
+            wire::CreateStatePiece(m_builder, static_cast<std::uint8_t>(message.kind), message.id,
+                                   message.index, message.total_bytes,
+                                   m_builder.CreateVector(bytes, message.bytes.size()))
+                .Union()};
+  }
+  Offset<wire::StateContent> Encode(const StateContent& content) {
+    std::vector<Offset<wire::Object>> objects;
+    for (const ObjectMessage& object : content.objects)
+      objects.emplace_back((*this)(object).second.o);
+    std::vector<Offset<flatbuffers::String>> names;
+    for (const std::string& name : content.names) names.push_back(Encode(name));
+    return wire::CreateStateContent(m_builder, content.revision, content.age.count(),
+                                    m_builder.CreateVector(objects), content.has_names,
+                                    m_builder.CreateVector(names));
+  }
 
  private:
   Offset<flatbuffers::String> Encode(const std::string& text) {
@@ -197,13 +225,55 @@
         return Decode(*message.item_as_Crashes());
       case wire::Item_RolloutVerdicts:
         return Decode(*message.item_as_RolloutVerdicts());
+      case wire::Item_StateRequest:
+        return Decode(*message.item_as_StateRequest());
+      case wire::Item_StatePiece:
+        return Decode(*message.item_as_StatePiece());
       default:
         m_is_valid = false;
         return WithdrawMessage{};
     }
   }
+  StateContent Decode(const wire::StateContent& table) {
+    StateContent content;
+    content.revision = table.revision();
+    content.age = DecodeMillis(table.age_ms());
+    if (table.objects() != nullptr)
+      for (const wire::Object* object : *table.objects())
+        content.objects.push_back(Decode(*object));
+    content.has_names = table.has_names();
+    if (table.names() != nullptr)
+      for (const auto* name : *table.names()) content.names.push_back(DecodeText(name));
+    return content;
+  }
 
  private:
+  ObjectKind DecodeKind(std::uint8_t kind) {
+    if (kind > static_cast<std::uint8_t>(ObjectKind::kRollouts)) m_is_valid = false;
+    return m_is_valid ? static_cast<ObjectKind>(kind) : ObjectKind::kConfig;
+  }
+  StateRequestMessage Decode(const wire::StateRequest& table) {
+    StateRequestMessage message;
+    message.kind = DecodeKind(table.kind());
+    message.id = table.id();
+    message.revision = table.revision();
+    if (table.held() != nullptr)
+      for (const wire::HeldT* held : *table.held())
+        message.held.push_back({DecodeText(held->name()), held->revision()});
+    message.holds_all = table.holds_all();
+    message.is_whole = table.is_whole();
+    return message;
+  }
+  StatePieceMessage Decode(const wire::StatePiece& table) {
+    StatePieceMessage message;
+    message.kind = DecodeKind(table.kind());
+    message.id = table.id();
+    message.index = table.index();
+    message.total_bytes = table.total_bytes();
+    if (table.bytes() != nullptr)
+      message.bytes.assign(table.bytes()->begin(), table.bytes()->end());
+    return message;
+  }
   ReleaseRunMessage Decode(const wire::Release& table) {
     ReleaseRunMessage message;
     message.id = DecodeId<AttemptId>(table.id());
@@ -264,8 +334,7 @@
   }
   ObjectMessage Decode(const wire::Object& table) {
     ObjectMessage message;
-    if (table.kind() > static_cast<std::uint8_t>(ObjectKind::kRollouts)) m_is_valid = false;
-    if (m_is_valid) message.kind = static_cast<ObjectKind>(table.kind());
+    message.kind = DecodeKind(table.kind());
     message.name = DecodeText(table.name());
     message.revision = table.revision();
     message.is_deleted = table.is_deleted();
@@ -390,4 +459,22 @@
   return messages;
 }
 
+std::string EncodeStateContent(const StateContent& content) {
+  FlatBufferBuilder builder;
+  builder.Finish(Encoder(builder, TimePoint{}).Encode(content));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+Result<StateContent> DecodeStateContent(std::string_view bytes) {
+  const Error malformed{ErrorKind::kBadRequest, "malformed content of a state transfer", ""};
+  const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
+  flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+  if (!verifier.VerifyBuffer<wire::StateContent>(nullptr)) return malformed;
+  const InstanceId no_home;
+  Decoder decoder(no_home, TimePoint{});
+  StateContent content = decoder.Decode(*flatbuffers::GetRoot<wire::StateContent>(aligned.data()));
+  if (!decoder.IsValid()) return malformed;
+  return content;
+}
+
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -95,7 +95,8 @@
 /// message that it does not know. Builds state them in probes and answers, and get no others.
 using FeatureSet = std::uint32_t;
 inline constexpr FeatureSet kFeatureRollouts = 1U << 0U;
-inline constexpr FeatureSet kOwnFeatures = kFeatureRollouts;
+inline constexpr FeatureSet kFeatureStateTransfer = 1U << 1U;
+inline constexpr FeatureSet kOwnFeatures = kFeatureRollouts | kFeatureStateTransfer;
 
 /// Instance to coordinator, as a heartbeat: asks how current the coordinator's objects are.
 struct ProbeMessage {
@@ -128,11 +129,43 @@
   std::uint64_t created = 0;
 };
 
+/// An object as the sender holds it.
+struct HeldObject {
+  std::string name;
+  std::uint64_t revision = 0;
+};
+/// Instance to coordinator: asks for the changes of a kind that the sender lacks. Only for
+/// instances with kFeatureStateTransfer.
+struct StateRequestMessage {
+  ObjectKind kind = ObjectKind::kConfig;
+  std::uint64_t id = 0;        ///< chosen by the sender, repeated in the pieces
+  std::uint64_t revision = 0;  ///< the sender has all changes up to it
+  std::vector<HeldObject> held;
+  bool holds_all = false;  ///< true: all objects are in `held`; false: those after `revision`
+  bool is_whole = false;   ///< all objects are to be sent, and none as a patch
+};
+/// Coordinator to instance: a part of an encoded StateContent.
+struct StatePieceMessage {
+  ObjectKind kind = ObjectKind::kConfig;
+  std::uint64_t id = 0;           ///< of the request
+  std::uint32_t index = 0;        ///< 0 for the first piece
+  std::uint64_t total_bytes = 0;  ///< of all pieces
+  std::string bytes;
+};
+/// Brings the objects of a kind from what the sender of a request holds to a revision.
+struct StateContent {
+  std::uint64_t revision = 0;
+  Millis age{0};  ///< since the revision was confirmed as current, when the content was made
+  std::vector<ObjectMessage> objects;  ///< without spec and patch if the store has no valid spec
+  bool has_names = false;
+  std::vector<std::string> names;  ///< if stated, objects of other names do not exist
+};
+
 using FleetMessage =
     std::variant<SubmitMessage, WithdrawMessage, FirstEventMessage, ReleaseRunMessage,
                  AvoidBackendMessage, SyncRequestsMessage, GrantedMessage, RefusedMessage,
                  MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage, CrashesMessage,
-                 RolloutVerdictsMessage>;
+                 RolloutVerdictsMessage, StateRequestMessage, StatePieceMessage>;
 
 /// Encodes the payload of a Fleet frame.
 /// @param now time points are encoded relative to it
@@ -144,4 +177,9 @@
 Result<std::vector<FleetMessage>> DecodeFleetMessages(std::string_view payload,
                                                       const InstanceId& home, TimePoint now);
 
+/// Encodes the content of a transfer, which is sent in pieces.
+std::string EncodeStateContent(const StateContent& content);
+/// @return the content, or kBadRequest if it is malformed
+Result<StateContent> DecodeStateContent(std::string_view bytes);
+
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -40,6 +40,7 @@
       m_members_timer(loop),
       m_decision_timer(loop),
       m_pace_timer(loop),
+      m_transfer_timer(loop),
       m_last_tick(loop.Now()) {
   InstanceInfo& self = m_link_context.self;
   self.id = m_options.id;
@@ -158,6 +159,7 @@
     for (auto& [other, member] : m_members) SetAlive(other, m_followers.contains(other));
   } else {
     if (was_coordinator) m_coordinator.RemoveHome(m_options.id);
+    m_transfers.Clear();
     Dial& dial = m_dials.at(id);
     m_coordinator_peer = Peer{std::exchange(dial.link, nullptr), m_loop.Now()};
   }
@@ -217,6 +219,7 @@
     Enqueue(*m_coordinator_peer, m_relay->MakeProbe());
   }
   m_relay->UpdateSuspension();
+  RequestMissingState();
   if (m_has_lost_store && m_relay->HasStoreContact()) SetLostStore(false);
   RemoveAbsentMembers(now);
   ElectCoordinator();
@@ -244,6 +247,7 @@
   if (const auto old = m_followers.find(id); old != m_followers.end()) {
     const auto previous = old->second.link;
     m_followers.erase(old);
+    m_transfers.RemoveFollower(id);
     previous->Close("replaced");
     m_coordinator.RemoveHome(id);
   }
@@ -289,6 +293,7 @@
   if (follower == m_followers.end() || follower->second.link.get() != &link) return;
   const InstanceId id = follower->first;
   m_followers.erase(follower);
+  m_transfers.RemoveFollower(id);
   m_coordinator.RemoveHome(id);
   SetAlive(id, false);
   UpdateShare();
@@ -310,7 +315,9 @@
   if (!IsOk(messages)) return link.Close(ErrorOf(messages).message);
   bool affects_decisions = false;
   for (FleetMessage& message : std::get<0>(messages)) {
-    affects_decisions = affects_decisions || !std::holds_alternative<ProbeMessage>(message);
+    affects_decisions =
+        affects_decisions || !(std::holds_alternative<ProbeMessage>(message) ||
+                               std::holds_alternative<StateRequestMessage>(message));
     if (is_follower) {
       OnFollowerMessage(id, std::move(message));
     } else {
@@ -348,6 +355,9 @@
     // Only this instance has lost the store, so a follower is the better coordinator.
     if (probe->has_store_contact && IsCoordinator() && !m_relay->HasStoreContact())
       SetLostStore(true);
+  } else if (auto* request = std::get_if<StateRequestMessage>(&message)) {
+    m_transfers.Add(follower, std::move(*request));
+    if (!m_is_transferring) SendStatePieces();
   }
 }
 
@@ -379,6 +389,9 @@
     m_relay->OnConfirm(*confirm);
   } else if (const auto* object = std::get_if<ObjectMessage>(&message)) {
     m_relay->OnObject(*object);
+  } else if (const auto* piece = std::get_if<StatePieceMessage>(&message)) {
+    m_relay->OnStatePiece(*piece);
+    RequestMissingState();
   }
 }
 
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "gateway/decisions/decision-pace.h"
 #include "peer/link.h"
 #include "relay.h"
+#include "state-transfer.h"
 
 struct st_h2o_socket_t;
 
@@ -153,6 +154,9 @@
   void SendVerdicts(const Peer& peer, const std::vector<RolloutVerdict>& verdicts);
   /// Records what a peer understands, and sends it what depends on that.
   void SetFeatures(Peer& peer, FeatureSet features);
+  /// Sends the next pieces of state to followers, until all is sent.
+  void SendStatePieces();
+  void RequestMissingState();
   void FlushOutboxes();
   /// Sends a changed member to all followers, after a short time and with others.
   void BroadcastMember(const FleetMember& member);
@@ -188,6 +192,9 @@
   Timer m_members_timer;
   Timer m_decision_timer;
   Timer m_pace_timer;
+  Timer m_transfer_timer;
+  bool m_is_transferring = false;
+  TransferSender m_transfers;
   DecisionPace m_decision_pace;
   TimePoint m_last_tick;
   TimePoint m_next_probe;
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -78,6 +78,18 @@
 struct RolloutVerdicts;
 struct RolloutVerdictsBuilder;
 
+struct HeldT;
+struct HeldTBuilder;
+
+struct StateRequest;
+struct StateRequestBuilder;
+
+struct StatePiece;
+struct StatePieceBuilder;
+
+struct StateContent;
+struct StateContentBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -100,27 +112,32 @@
   Item_Object = 12,
   Item_Crashes = 13,
   Item_RolloutVerdicts = 14,
+  Item_StateRequest = 15,
+  Item_StatePiece = 16,
   Item_MIN = Item_NONE,
-  Item_MAX = Item_RolloutVerdicts
+  Item_MAX = Item_StatePiece
 };
 
-inline const Item (&EnumValuesItem())[15] {
-  static const Item values[] = {Item_NONE,   Item_Submit,     Item_Withdraw,       Item_Grant,
-                                Item_Refuse, Item_FirstEvent, Item_Release,        Item_Avoid,
-                                Item_Sync,   Item_View,       Item_Probe,          Item_Confirm,
-                                Item_Object, Item_Crashes,    Item_RolloutVerdicts};
+inline const Item (&EnumValuesItem())[17] {
+  static const Item values[] = {
+      Item_NONE,         Item_Submit,    Item_Withdraw, Item_Grant,   Item_Refuse,
+      Item_FirstEvent,   Item_Release,   Item_Avoid,    Item_Sync,    Item_View,
+      Item_Probe,        Item_Confirm,   Item_Object,   Item_Crashes, Item_RolloutVerdicts,
+      Item_StateRequest, Item_StatePiece};
   return values;
 }
 
 inline const char *const *EnumNamesItem() {
-  static const char *const names[16] = {
-      "NONE", "Submit", "Withdraw", "Grant",   "Refuse", "FirstEvent", "Release",         "Avoid",
-      "Sync", "View",   "Probe",    "Confirm", "Object", "Crashes",    "RolloutVerdicts", nullptr};
+  static const char *const names[18] = {
+      "NONE",         "Submit",     "Withdraw", "Grant",   "Refuse",
+      "FirstEvent",   "Release",    "Avoid",    "Sync",    "View",
+      "Probe",        "Confirm",    "Object",   "Crashes", "RolloutVerdicts",
+      "StateRequest", "StatePiece", nullptr};
   return names;
 }
 
 inline const char *EnumNameItem(Item e) {
-  if (flatbuffers::IsOutRange(e, Item_NONE, Item_RolloutVerdicts)) return "";
+  if (flatbuffers::IsOutRange(e, Item_NONE, Item_StatePiece)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesItem()[index];
 }
@@ -200,6 +217,16 @@
   static const Item enum_value = Item_RolloutVerdicts;
 };
 
+template <>
+struct ItemTraits<bluebellpass::gateway::wire::StateRequest> {
+  static const Item enum_value = Item_StateRequest;
+};
+
+template <>
+struct ItemTraits<bluebellpass::gateway::wire::StatePiece> {
+  static const Item enum_value = Item_StatePiece;
+};
+
 bool VerifyItem(flatbuffers::Verifier &verifier, const void *obj, Item type);
 bool VerifyItemVector(flatbuffers::Verifier &verifier,
                       const flatbuffers::Vector<flatbuffers::Offset<void>> *values,
@@ -1708,6 +1735,301 @@
   return bluebellpass::gateway::wire::CreateRolloutVerdicts(_fbb, verdicts__);
 }
 
+struct HeldT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeldTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_NAME = 4, VT_REVISION = 6 };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t revision() const { return GetField<uint64_t>(VT_REVISION, 0); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) && VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct HeldTBuilder {
+  typedef HeldT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(HeldT::VT_NAME, name);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(HeldT::VT_REVISION, revision, 0);
+  }
+  explicit HeldTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeldT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeldT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeldT> CreateHeldT(flatbuffers::FlatBufferBuilder &_fbb,
+                                              flatbuffers::Offset<flatbuffers::String> name = 0,
+                                              uint64_t revision = 0) {
+  HeldTBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HeldT> CreateHeldTDirect(flatbuffers::FlatBufferBuilder &_fbb,
+                                                    const char *name = nullptr,
+                                                    uint64_t revision = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return bluebellpass::gateway::wire::CreateHeldT(_fbb, name__, revision);
+}
+
+struct StateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_ID = 6,
+    VT_REVISION = 8,
+    VT_HELD = 10,
+    VT_HOLDS_ALL = 12,
+    VT_IS_WHOLE = 14
+  };
+  uint8_t kind() const { return GetField<uint8_t>(VT_KIND, 0); }
+  uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
+  uint64_t revision() const { return GetField<uint64_t>(VT_REVISION, 0); }
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>> *held() const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>> *>(
+        VT_HELD);
+  }
+  bool holds_all() const { return GetField<uint8_t>(VT_HOLDS_ALL, 0) != 0; }
+  bool is_whole() const { return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0; }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) && VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) && verifier.VerifyVectorOfTables(held()) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS_ALL, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) && verifier.EndTable();
+  }
+};
+
+struct StateRequestBuilder {
+  typedef StateRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) { fbb_.AddElement<uint8_t>(StateRequest::VT_KIND, kind, 0); }
+  void add_id(uint64_t id) { fbb_.AddElement<uint64_t>(StateRequest::VT_ID, id, 0); }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StateRequest::VT_REVISION, revision, 0);
+  }
+  void add_held(flatbuffers::Offset<
+                flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>>>
+                    held) {
+    fbb_.AddOffset(StateRequest::VT_HELD, held);
+  }
+  void add_holds_all(bool holds_all) {
+    fbb_.AddElement<uint8_t>(StateRequest::VT_HOLDS_ALL, static_cast<uint8_t>(holds_all), 0);
+  }
+  void add_is_whole(bool is_whole) {
+    fbb_.AddElement<uint8_t>(StateRequest::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
+  }
+  explicit StateRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StateRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StateRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StateRequest> CreateStateRequest(
+    flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0, uint64_t id = 0, uint64_t revision = 0,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>>>
+        held = 0,
+    bool holds_all = false, bool is_whole = false) {
+  StateRequestBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_id(id);
+  builder_.add_held(held);
+  builder_.add_is_whole(is_whole);
+  builder_.add_holds_all(holds_all);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StateRequest> CreateStateRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0, uint64_t id = 0, uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>> *held = nullptr,
+    bool holds_all = false, bool is_whole = false) {
+  auto held__ =
+      held ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::HeldT>>(*held) : 0;
+  return bluebellpass::gateway::wire::CreateStateRequest(_fbb, kind, id, revision, held__,
+                                                         holds_all, is_whole);
+}
+
+struct StatePiece FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StatePieceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_ID = 6,
+    VT_INDEX = 8,
+    VT_TOTAL_BYTES = 10,
+    VT_BYTES = 12
+  };
+  uint8_t kind() const { return GetField<uint8_t>(VT_KIND, 0); }
+  uint64_t id() const { return GetField<uint64_t>(VT_ID, 0); }
+  uint32_t index() const { return GetField<uint32_t>(VT_INDEX, 0); }
+  uint64_t total_bytes() const { return GetField<uint64_t>(VT_TOTAL_BYTES, 0); }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL_BYTES, 8) && VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) && verifier.EndTable();
+  }
+};
+
+struct StatePieceBuilder {
+  typedef StatePiece Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) { fbb_.AddElement<uint8_t>(StatePiece::VT_KIND, kind, 0); }
+  void add_id(uint64_t id) { fbb_.AddElement<uint64_t>(StatePiece::VT_ID, id, 0); }
+  void add_index(uint32_t index) { fbb_.AddElement<uint32_t>(StatePiece::VT_INDEX, index, 0); }
+  void add_total_bytes(uint64_t total_bytes) {
+    fbb_.AddElement<uint64_t>(StatePiece::VT_TOTAL_BYTES, total_bytes, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(StatePiece::VT_BYTES, bytes);
+  }
+  explicit StatePieceBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StatePiece> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StatePiece>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StatePiece> CreateStatePiece(
+    flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0, uint64_t id = 0, uint32_t index = 0,
+    uint64_t total_bytes = 0, flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  StatePieceBuilder builder_(_fbb);
+  builder_.add_total_bytes(total_bytes);
+  builder_.add_id(id);
+  builder_.add_bytes(bytes);
+  builder_.add_index(index);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StatePiece> CreateStatePieceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, uint8_t kind = 0, uint64_t id = 0, uint32_t index = 0,
+    uint64_t total_bytes = 0, const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return bluebellpass::gateway::wire::CreateStatePiece(_fbb, kind, id, index, total_bytes, bytes__);
+}
+
+struct StateContent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateContentBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REVISION = 4,
+    VT_AGE_MS = 6,
+    VT_OBJECTS = 8,
+    VT_HAS_NAMES = 10,
+    VT_NAMES = 12
+  };
+  uint64_t revision() const { return GetField<uint64_t>(VT_REVISION, 0); }
+  int64_t age_ms() const { return GetField<int64_t>(VT_AGE_MS, 0); }
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>> *objects()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>> *>(
+        VT_OBJECTS);
+  }
+  bool has_names() const { return GetField<uint8_t>(VT_HAS_NAMES, 0) != 0; }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(
+        VT_NAMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) && VerifyOffset(verifier, VT_OBJECTS) &&
+           verifier.VerifyVector(objects()) && verifier.VerifyVectorOfTables(objects()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_NAMES, 1) && VerifyOffset(verifier, VT_NAMES) &&
+           verifier.VerifyVector(names()) && verifier.VerifyVectorOfStrings(names()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StateContentBuilder {
+  typedef StateContent Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StateContent::VT_REVISION, revision, 0);
+  }
+  void add_age_ms(int64_t age_ms) { fbb_.AddElement<int64_t>(StateContent::VT_AGE_MS, age_ms, 0); }
+  void add_objects(flatbuffers::Offset<
+                   flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>>>
+                       objects) {
+    fbb_.AddOffset(StateContent::VT_OBJECTS, objects);
+  }
+  void add_has_names(bool has_names) {
+    fbb_.AddElement<uint8_t>(StateContent::VT_HAS_NAMES, static_cast<uint8_t>(has_names), 0);
+  }
+  void add_names(
+      flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names) {
+    fbb_.AddOffset(StateContent::VT_NAMES, names);
+  }
+  explicit StateContentBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StateContent> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StateContent>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StateContent> CreateStateContent(
+    flatbuffers::FlatBufferBuilder &_fbb, uint64_t revision = 0, int64_t age_ms = 0,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>>>
+        objects = 0,
+    bool has_names = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names = 0) {
+  StateContentBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_revision(revision);
+  builder_.add_names(names);
+  builder_.add_objects(objects);
+  builder_.add_has_names(has_names);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StateContent> CreateStateContentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, uint64_t revision = 0, int64_t age_ms = 0,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>> *objects = nullptr,
+    bool has_names = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *names = nullptr) {
+  auto objects__ =
+      objects
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::Object>>(*objects)
+          : 0;
+  auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*names) : 0;
+  return bluebellpass::gateway::wire::CreateStateContent(_fbb, revision, age_ms, objects__,
+                                                         has_names, names__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ITEM_TYPE = 4, VT_ITEM = 6 };
@@ -1787,6 +2109,16 @@
                ? static_cast<const bluebellpass::gateway::wire::RolloutVerdicts *>(item())
                : nullptr;
   }
+  const bluebellpass::gateway::wire::StateRequest *item_as_StateRequest() const {
+    return item_type() == bluebellpass::gateway::wire::Item_StateRequest
+               ? static_cast<const bluebellpass::gateway::wire::StateRequest *>(item())
+               : nullptr;
+  }
+  const bluebellpass::gateway::wire::StatePiece *item_as_StatePiece() const {
+    return item_type() == bluebellpass::gateway::wire::Item_StatePiece
+               ? static_cast<const bluebellpass::gateway::wire::StatePiece *>(item())
+               : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_ITEM_TYPE, 1) &&
            VerifyOffset(verifier, VT_ITEM) && VerifyItem(verifier, item(), item_type()) &&
@@ -1878,6 +2210,18 @@
   return item_as_RolloutVerdicts();
 }
 
+template <>
+inline const bluebellpass::gateway::wire::StateRequest *
+Message::item_as<bluebellpass::gateway::wire::StateRequest>() const {
+  return item_as_StateRequest();
+}
+
+template <>
+inline const bluebellpass::gateway::wire::StatePiece *
+Message::item_as<bluebellpass::gateway::wire::StatePiece>() const {
+  return item_as_StatePiece();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2023,6 +2367,14 @@
       auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::RolloutVerdicts *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Item_StateRequest: {
+      auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::StateRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Item_StatePiece: {
+      auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::StatePiece *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default:
       return true;
   }
--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 #include "bluebellpass/event.h"
 
@@ -30,6 +32,9 @@
 // confirmation, which usually saves the next call.
 constexpr Millis kCoordinatorCoalesceDelay{60};
 constexpr Millis kFollowerCoalesceDelay{350};
+// A request names all objects up to this number, which makes the base of a patch certain. Of more
+// objects it names those after its revision, so that it stays small.
+constexpr std::size_t kMaxHeldObjects = 16;
 
 /// @return the revision on which a follower may rely, or 0 if it must not rely on this instance. A
 /// change whose revision is still to be seen was announced before the follower may have come.
@@ -37,14 +42,19 @@
   return watch.HasUnseenChange() ? Revision{} : watch.SeenRevision();
 }
 
+std::string_view KindName(ObjectKind kind) {
+  if (kind == ObjectKind::kConfig) return "config";
+  return kind == ObjectKind::kBackends ? "backends" : "rollouts";
+}
+
 }  // namespace
 
 ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends,
                          ObjectWatch* rollouts)
     : m_clock(clock),
-      m_config{&config, std::nullopt},
-      m_backends{&backends, std::nullopt},
-      m_rollouts{rollouts, std::nullopt} {}
+      m_config(ObjectKind::kConfig, &config),
+      m_backends(ObjectKind::kBackends, &backends),
+      m_rollouts(ObjectKind::kRollouts, rollouts) {}
 
 std::vector<ObjectRelay::Channel*> ObjectRelay::Channels() {
   std::vector<Channel*> channels = {&m_config, &m_backends};
@@ -60,6 +70,8 @@
   m_has_remote_coordinator = is_remote;
   for (Channel* channel : Channels()) {
     channel->required_revision.reset();
+    channel->missed_revision = Revision{};
+    channel->receiver.Reset();
     channel->watch->SetMaxWait(is_remote ? kFollowerMaxWait : kCoordinatorMaxWait);
     channel->watch->SetInitialBackoff(is_remote ? kFollowerInitialBackoff
                                                 : kCoordinatorInitialBackoff);
@@ -70,7 +82,9 @@
 }
 
 bool ObjectRelay::IsCaughtUp(const Channel& channel) {
-  return channel.required_revision && channel.watch->SeenRevision() >= *channel.required_revision;
+  return channel.required_revision &&
+         channel.watch->SeenRevision() >=
+             std::max(*channel.required_revision, channel.missed_revision);
 }
 
 void ObjectRelay::UpdateSuspension() {
@@ -115,21 +129,28 @@
     message.spec = std::move(spec);
     return message;
   }
-  const auto base = m_diff_bases.find(object.name);
-  if (base == m_diff_bases.end()) return message;
-  std::string patch = nlohmann::json::diff(*base->second.spec, *object.spec).dump();
+  const StoredObject* base = m_config.history.Find(object.name);
+  if (base == nullptr) return message;
+  std::string patch = ObjectHistory::MakePatch(*base->spec, *object.spec);
   if (!fits(patch)) return message;
   message.patch = std::move(patch);
-  message.base_revision = base->second.revision.Value();
+  message.base_revision = base->revision.Value();
   return message;
 }
 
-void ObjectRelay::SetDiffBase(const StoredObject& config) {
-  if (config.spec && !config.is_deleted) {
-    m_diff_bases[config.name] = config;
-  } else {
-    m_diff_bases.erase(config.name);
-  }
+void ObjectRelay::RecordObject(ObjectKind kind, const StoredObject& object) {
+  Channel* channel = FindChannel(kind);
+  if (channel != nullptr) channel->history.Record(object, channel->watch->SeenRevision());
+}
+
+std::optional<std::string> ObjectRelay::MakeTransfer(const StateRequestMessage& request) const {
+  const Channel* channel = FindChannel(request.kind);
+  if (channel == nullptr) return std::nullopt;
+  const Revision seen = ConfirmedRevision(*channel->watch);
+  if (seen == Revision{}) return std::nullopt;
+  StateContent content = channel->history.MakeContent(request, seen);
+  content.age = m_clock.Now() - channel->watch->ConfirmedAt();
+  return EncodeStateContent(content);
 }
 
 ProbeMessage ObjectRelay::MakeProbe() const {
@@ -164,13 +185,18 @@
   if (IsCaughtUp(channel)) channel.watch->Confirm(revision, at);
 }
 
-ObjectRelay::Channel* ObjectRelay::FindChannel(ObjectKind kind) {
+const ObjectRelay::Channel* ObjectRelay::FindChannel(ObjectKind kind) const {
   if (kind == ObjectKind::kConfig) return &m_config;
   if (kind == ObjectKind::kRollouts && m_rollouts.watch != nullptr) return &m_rollouts;
   return kind == ObjectKind::kBackends ? &m_backends : nullptr;
 }
 
-std::optional<StoredObject> ObjectRelay::DecodeObject(const ObjectMessage& message) const {
+ObjectRelay::Channel* ObjectRelay::FindChannel(ObjectKind kind) {
+  return const_cast<Channel*>(std::as_const(*this).FindChannel(kind));
+}
+
+std::optional<StoredObject> ObjectRelay::DecodeObject(const Channel& channel,
+                                                      const ObjectMessage& message) {
   StoredObject object;
   object.name = message.name;
   object.revision = Revision(message.revision);
@@ -186,11 +212,10 @@
   if (!has_spec && message.patch.empty()) return std::nullopt;
   auto spec = nlohmann::json::parse(has_spec ? message.spec : message.patch, nullptr, false);
   if (!has_spec && !spec.is_discarded()) {
-    const auto base = m_diff_bases.find(message.name);
-    if (base == m_diff_bases.end() || base->second.revision != Revision(message.base_revision))
-      return std::nullopt;
+    const StoredObject* base = channel.history.Find(message.name);
+    if (base == nullptr || base->revision != Revision(message.base_revision)) return std::nullopt;
     try {
-      spec = base->second.spec->patch(spec);
+      spec = base->spec->patch(spec);
     } catch (const nlohmann::json::exception&) {
       spec = nlohmann::json(nlohmann::json::value_t::discarded);
     }
@@ -207,11 +232,74 @@
 void ObjectRelay::OnObject(const ObjectMessage& message) {
   Channel* channel = FindChannel(message.kind);
   if (channel == nullptr || !m_has_remote_coordinator) return;
-  if (const auto object = DecodeObject(message)) return channel->watch->ApplyRelayed(*object);
-  // The change itself is missing, so this instance reads the store until it has the revision.
-  if (channel->required_revision)
-    channel->required_revision = std::max(*channel->required_revision, Revision(message.revision));
+  if (const auto object = DecodeObject(*channel, message))
+    return channel->watch->ApplyRelayed(*object);
+  // The change itself is missing, so this instance reads the store, and asks the coordinator, until
+  // it has the revision. The first confirmation over this link may still be to come.
+  channel->missed_revision = std::max(channel->missed_revision, Revision(message.revision));
+  UpdateSuspension();
+}
+
+std::vector<StateRequestMessage> ObjectRelay::TakeRequests() {
+  std::vector<StateRequestMessage> requests;
+  const BootTime now = m_clock.Now();
+  for (Channel* channel : Channels()) {
+    const bool is_lacking =
+        m_has_remote_coordinator && channel->required_revision && !IsCaughtUp(*channel);
+    if (!channel->receiver.IsRequestDue(is_lacking, now)) continue;
+    StateRequestMessage request = channel->receiver.StartRequest(channel->kind, now);
+    const Revision seen = channel->watch->SeenRevision();
+    const auto& objects = channel->watch->ObjectRevisions();
+    request.revision = seen.Value();
+    request.holds_all = objects.size() <= kMaxHeldObjects;
+    for (const auto& [name, revision] : objects)
+      if (request.holds_all || revision > seen) request.held.push_back({name, revision.Value()});
+    requests.push_back(std::move(request));
+  }
+  return requests;
+}
+
+void ObjectRelay::OnStatePiece(const StatePieceMessage& piece) {
+  Channel* channel = FindChannel(piece.kind);
+  if (channel == nullptr || !m_has_remote_coordinator) return;
+  const auto transfer = channel->receiver.AddPiece(piece, m_clock.Now());
+  // The store may have answered this instance first.
+  if (!transfer || Revision(transfer->content.revision) <= channel->watch->SeenRevision()) return;
+  ApplyTransfer(*channel, *transfer);
   UpdateSuspension();
 }
 
+void ObjectRelay::ApplyTransfer(Channel& channel, const TransferReceiver::Completed& transfer) {
+  const StateContent& content = transfer.content;
+  const Revision revision(content.revision);
+  std::vector<StoredObject> objects;
+  for (const ObjectMessage& message : content.objects) {
+    const Revision object_revision(message.revision);
+    const auto known = channel.watch->ObjectRevisions().find(message.name);
+    // A newer version was relayed during the transfer, and the base of a patch is gone.
+    if (known != channel.watch->ObjectRevisions().end() &&
+        (message.is_deleted ? known->second > object_revision : known->second >= object_revision))
+      continue;
+    const bool has_spec = message.is_deleted || !message.spec.empty() || !message.patch.empty();
+    auto object = has_spec ? DecodeObject(channel, message)
+                           : StoredObject{message.name, object_revision, false,
+                                          nullptr,      nullptr,         message.created};
+    if (!object) return channel.receiver.RequireWhole();
+    objects.push_back(std::move(*object));
+  }
+  if (content.has_names) {
+    const std::set<std::string> names(content.names.begin(), content.names.end());
+    for (const auto& [name, known] : channel.watch->ObjectRevisions())
+      if (!names.contains(name) && known <= revision)
+        objects.push_back({name, revision, true, nullptr, nullptr, 0});
+  }
+  channel.watch->ApplyTransfer(objects, revision);
+  // The age is counted from the sending of the request, as that of a confirmation.
+  channel.watch->Confirm(revision, transfer.requested_at + Millis(-content.age.count()));
+  LogEvent(EventId::kStateReceived, {{"kind", std::string(KindName(channel.kind))},
+                                     {"revision", static_cast<std::int64_t>(content.revision)},
+                                     {"objects", static_cast<std::int64_t>(objects.size())},
+                                     {"age_ms", content.age.count()}});
+}
+
 }  // namespace bluebellpass::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -255,7 +255,7 @@
   ObjectWatch::Events config_events;
   config_events.on_object = [this](const StoredObject& object) {
     if (m_config_watch->HasInitialList()) m_fleet.AnnounceObject(ObjectKind::kConfig, object);
-    m_relay->SetDiffBase(object);
+    m_relay->RecordObject(ObjectKind::kConfig, object);
     OnConfigObject(object);
   };
   config_events.on_confirmed = [this](BootTime at) { m_routing_state.ConfirmConfig(at); };
@@ -272,6 +272,7 @@
   ObjectWatch::Events backend_events;
   backend_events.on_object = [this](const StoredObject& object) {
     if (m_backend_watch->HasInitialList()) m_fleet.AnnounceObject(ObjectKind::kBackends, object);
+    m_relay->RecordObject(ObjectKind::kBackends, object);
     OnBackendObject(object);
   };
   backend_events.on_batch = [this] { OnBackendBatch(); };
@@ -299,6 +300,7 @@
   ObjectWatch::Events events;
   events.on_object = [this](const StoredObject& object) {
     if (m_rollout_watch->HasInitialList()) m_fleet.AnnounceObject(ObjectKind::kRollouts, object);
+    m_relay->RecordObject(ObjectKind::kRollouts, object);
     m_rollout_task->OnObject(object);
   };
   events.on_confirmed = [this](BootTime) {
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -21,6 +21,7 @@
   if (after.empty()) {
     m_list_started_at = m_clock.Now();
     m_list_revision = Revision{};
+    m_revision_before_list = m_revision;
     m_listed_names.clear();
   }
   m_store.List(m_kind, after, ReadConsistency::kCurrent,
@@ -39,14 +40,16 @@
   // The watch starts at the revision of the first page, to see changes made during the list.
   if (m_list_revision == Revision{}) m_list_revision = page.revision;
   for (const StoredObject& object : page.objects) m_listed_names.insert(object.name);
-  ApplyChanges(page.objects);
+  // Another instance may have brought the view beyond the list during its calls.
+  const bool is_older = m_revision != m_revision_before_list && m_list_revision < m_revision;
+  ApplyChanges(page.objects, is_older);
   if (page.has_more && !page.objects.empty()) return ListFrom(page.objects.back().name);
   std::vector<StoredObject> deleted;
   for (const auto& [name, revision] : m_revisions)
     if (!m_listed_names.contains(name)) deleted.push_back({name, m_list_revision, true, nullptr});
-  ApplyChanges(deleted);
+  ApplyChanges(deleted, is_older);
   const bool is_first = !HasInitialList();
-  m_revision = m_list_revision;
+  if (!is_older) SetRevision(m_list_revision);
   if (m_events.on_batch) m_events.on_batch();
   SetConfirmed(std::min(sent_at, m_list_started_at));
   if (is_first) m_elapsed_wait = std::min(m_options.first_watch_delay, m_options.max_wait);
@@ -79,8 +82,8 @@
   }
   const ObjectPage& page = std::get<ObjectPage>(result);
   OnSuccess();
-  ApplyChanges(page.objects);
-  m_revision = std::max(m_revision, page.revision);
+  ApplyChanges(page.objects, page.revision < m_revision);
+  SetRevision(std::max(m_revision, page.revision));
   if (!page.objects.empty()) {
     if (m_events.on_batch) m_events.on_batch();
     // There may be later changes already, so only the time of sending is confirmed.
@@ -94,15 +97,30 @@
   ScheduleNextCall(has_waited ? Millis{0} : m_options.coalesce_delay);
 }
 
-void ObjectWatch::ApplyChanges(const std::vector<StoredObject>& objects) {
+bool ObjectWatch::IsDeletedSince(const StoredObject& object, bool is_older) const {
+  const auto deletion = m_deletions.find(object.name);
+  if (deletion != m_deletions.end() && object.revision <= deletion->second) return true;
+  return is_older && object.revision <= m_revision;
+}
+
+void ObjectWatch::SetRevision(Revision revision) {
+  m_revision = revision;
+  std::erase_if(m_deletions, [&](const auto& item) { return item.second <= revision; });
+}
+
+void ObjectWatch::ApplyChanges(const std::vector<StoredObject>& objects, bool is_older) {
   for (const StoredObject& object : objects) {
     const auto known = m_revisions.find(object.name);
     if (known != m_revisions.end() && object.revision <= known->second && !object.is_deleted)
       continue;
     if (object.is_deleted) {
+      Revision& deletion = m_deletions[object.name];
+      deletion = std::max(deletion, object.revision);
       if (known == m_revisions.end() || object.revision < known->second) continue;
       m_revisions.erase(known);
     } else {
+      if (known == m_revisions.end() && IsDeletedSince(object, is_older)) continue;
+      m_deletions.erase(object.name);
       m_revisions[object.name] = object.revision;
     }
     m_newest_change = std::max(m_newest_change, object.revision);
@@ -143,12 +161,18 @@
 }
 
 void ObjectWatch::ApplyRelayed(const StoredObject& object) {
-  ApplyChanges({object});
+  ApplyChanges({object}, false);
+  if (m_events.on_batch) m_events.on_batch();
+}
+
+void ObjectWatch::ApplyTransfer(const std::vector<StoredObject>& objects, Revision revision) {
+  ApplyChanges(objects, revision < m_revision);
+  SetRevision(std::max(m_revision, revision));
   if (m_events.on_batch) m_events.on_batch();
 }
 
 void ObjectWatch::Confirm(Revision revision, BootTime at) {
-  m_revision = std::max(m_revision, revision);
+  SetRevision(std::max(m_revision, revision));
   SetConfirmed(at);
 }
 
--- a/src/gateway/state/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "bluebellpass/gateway/store-client.h"
 #include "bluebellpass/timer.h"
@@ -63,6 +64,8 @@
   void SetMaxBackoff(Millis pause) { m_options.max_backoff = pause; }
   /// Applies a change that another instance has read from the store.
   void ApplyRelayed(const StoredObject& object);
+  /// Applies all changes from the present view up to a revision, which another instance has read.
+  void ApplyTransfer(const std::vector<StoredObject>& objects, Revision revision);
   /// Confirms that all changes up to the revision were applied, and that the view was current at
   /// this time.
   void Confirm(Revision revision, BootTime at);
@@ -73,6 +76,8 @@
   /// @return true if the view has a change after SeenRevision, so that others may still be missing.
   /// An instance that learns only of later changes would miss that one.
   bool HasUnseenChange() const { return m_newest_change > m_revision; }
+  /// @return names and revisions of the objects in the view
+  const std::map<std::string, Revision>& ObjectRevisions() const { return m_revisions; }
   /// @return time at which the view was last confirmed as current
   BootTime ConfirmedAt() const { return m_confirmed_at; }
 
@@ -81,7 +86,11 @@
   void OnListPage(BootTime sent_at, Result<ObjectPage> result);
   void MakeNextCall();
   void OnWatchResponse(BootTime sent_at, Millis wait, Result<ObjectPage> result);
-  void ApplyChanges(const std::vector<StoredObject>& objects);
+  /// @param is_older the view is complete up to a later revision than that of the objects' read
+  void ApplyChanges(const std::vector<StoredObject>& objects, bool is_older);
+  /// @return true when an object that is not in the view was deleted after the given revision of it
+  bool IsDeletedSince(const StoredObject& object, bool is_older) const;
+  void SetRevision(Revision revision);
   void OnFailure(const Error& error);
   void OnSuccess();
   void ScheduleNextCall(Millis delay);
@@ -96,10 +105,13 @@
   Revision m_revision;
   Revision m_newest_change;
   std::map<std::string, Revision> m_revisions;  ///< revision of each object
+  /// Deletions after SeenRevision, so that an older read does not restore their objects.
+  std::map<std::string, Revision> m_deletions;
   std::set<std::string> m_listed_names;
   std::string m_list_after;  ///< where a failed list continues
   BootTime m_list_started_at{};
   Revision m_list_revision;
+  Revision m_revision_before_list;
   Millis m_backoff{0};
   Millis m_elapsed_wait{0};  ///< pause before the next watch call, subtracted from its wait
   bool m_needs_list = true;
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -111,6 +111,8 @@
               "an order for a roll-out cannot be used"},
     EventInfo{kClientRejected, "client_rejected", kWarning,
               "a client was turned away before its request was handled"},
+    EventInfo{kStateReceived, "state_received", kInfo,
+              "changes that the store did not give this instance came from the coordinator"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -62,7 +62,9 @@
           ProbeMessage{123'456, true},
           ConfirmMessage{123'456, 9, Millis{40}, 11, Millis{50}},
           ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}", "[]", 11},
-          CrashesMessage{{{crash}, {{Fingerprint(7), kNow - Millis{70}}}}}};
+          CrashesMessage{{{crash}, {{Fingerprint(7), kNow - Millis{70}}}}},
+          StateRequestMessage{ObjectKind::kRollouts, 5, 30, {{"main", 28}}, true, true},
+          StatePieceMessage{ObjectKind::kBackends, 6, 2, 900, std::string("a\0b", 3)}};
 }
 
 }  // namespace
@@ -118,6 +120,50 @@
   BOOST_TEST((crash.suspects == std::set{Fingerprint(5), Fingerprint(6)}));
   BOOST_TEST((crashes.cleared.at(0).content == Fingerprint(7)));
   BOOST_TEST((crashes.cleared.at(0).at == kNow - Millis{70}));
+  const auto& state_request = std::get<StateRequestMessage>(messages[13]);
+  BOOST_TEST((state_request.kind == ObjectKind::kRollouts));
+  BOOST_TEST(state_request.id == 5U);
+  BOOST_TEST(state_request.revision == 30U);
+  BOOST_TEST(state_request.held.at(0).name == "main");
+  BOOST_TEST(state_request.held.at(0).revision == 28U);
+  BOOST_TEST(state_request.holds_all);
+  BOOST_TEST(state_request.is_whole);
+  const auto& piece = std::get<StatePieceMessage>(messages[14]);
+  BOOST_TEST((piece.kind == ObjectKind::kBackends));
+  BOOST_TEST(piece.id == 6U);
+  BOOST_TEST(piece.index == 2U);
+  BOOST_TEST(piece.total_bytes == 900U);
+  BOOST_TEST(piece.bytes == std::string("a\0b", 3));
+}
+
+// Guards against the same, and against crashes on malformed bytes, in the content of a transfer.
+BOOST_AUTO_TEST_CASE(StateContentRoundTrip) {
+  StateContent content;
+  content.revision = 40;
+  content.age = Millis{1'200};
+  content.objects = {{ObjectKind::kConfig, "main", 40, false, "", "[]", 28, "{}", 9}};
+  content.has_names = true;
+  content.names = {"main", "other"};
+  const std::string bytes = EncodeStateContent(content);
+  const auto decoded = DecodeStateContent(bytes);
+  BOOST_REQUIRE(IsOk(decoded));
+  const auto& copy = std::get<StateContent>(decoded);
+  BOOST_TEST(copy.revision == 40U);
+  BOOST_TEST((copy.age == Millis{1'200}));
+  BOOST_TEST(copy.objects.at(0).name == "main");
+  BOOST_TEST(copy.objects.at(0).patch == "[]");
+  BOOST_TEST(copy.objects.at(0).base_revision == 28U);
+  BOOST_TEST(copy.objects.at(0).created == 9U);
+  BOOST_TEST(copy.has_names);
+  BOOST_TEST(copy.names == content.names, boost::test_tools::per_element());
+  std::mt19937 random(5);
+  for (int round = 0; round < 10'000; ++round) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+    if (round % 5 == 0) damaged.resize(random() % damaged.size());
+    const auto result = DecodeStateContent(damaged);
+    if (IsOk(result)) BOOST_TEST(std::get<0>(result).objects.size() <= damaged.size());
+  }
 }
 
 // Guards against crashes and out-of-bounds reads on payloads of a faulty sender.
