Refuse late requests at once while engines are saturated

cause: after a burst more than a thousand streams waited that could only be late. New requests took all slots, so most of those were held until it was too late. Labels, the least urgent kind, were served more often than the questions above them, since their slot time is short.

change: requests to engines that are or will be late yield to new ones, as at plain services, unless their size group is underserved. A rank weighs 9 times the next one instead of 5 times.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -13,7 +13,7 @@
 namespace {
 
 // Value of a request relative to one of the next more urgent rank, for the same slot time.
-constexpr double kRankValueFactor = 1.0 / 5;
+constexpr double kRankValueFactor = 1.0 / 9;
 // Part of a request's value that does not grow with its size.
 constexpr double kSizeIndependentValue = 0.3;
 constexpr double kMaxRelativeSize = 4;
@@ -381,13 +381,18 @@
   WaitPrediction prediction;
   prediction.wait_ms = PredictWaitMs(ahead, false);
   prediction.max_wait_ms = MillisOf(request.patience) * kPatienceFraction - response_ms - waited_ms;
-  if (!capacity.is_plain) return prediction;
-  ahead.offered_slots = capacity.load->OfferedSlots(now);
-  const bool will_be_late = waited_ms + prediction.wait_ms + response_ms >
+  const double time_scale =
+      capacity.is_plain ? 1 : capacity.fastest.decode_ms_per_token / kInitialDecodeMsPerToken;
+  ahead.offered_slots = capacity.load->OfferedSlots(now) * time_scale;
+  const double most_response_ms =
+      capacity.is_plain ? capacity.load->MostSlotTimeMs(request.route) : response_ms;
+  const bool will_be_late = waited_ms + prediction.wait_ms + most_response_ms >
                             MillisOf(request.latency_objective - request.caller_age);
-  prediction.yields_to_new = ranked.is_late || will_be_late;
+  // Requests of an underserved size group keep their place.
+  prediction.yields_to_new = (ranked.is_late || will_be_late) && ranked.boost <= 1;
   prediction.wait_ms = PredictWaitMs(ahead, prediction.yields_to_new);
-  prediction.max_wait_ms = std::min(prediction.max_wait_ms, remaining_ms - response_ms);
+  if (capacity.is_plain)
+    prediction.max_wait_ms = std::min(prediction.max_wait_ms, remaining_ms - response_ms);
   return prediction;
 }
 
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -162,9 +162,9 @@
 /// - While slots are scarce, a request whose response could not be complete by its deadline on the
 ///   fastest backend server gets no slot. This handles responses that differ a hundredfold in
 ///   length.
-/// - Requests of plain services state no size, so the time that they occupy a slot is learned. When
-///   more of them arrive than can be served, new ones go first, and those that would be late are
-///   refused at once. This handles bursts at services with few slots.
+/// - Requests of plain services state no size, so the time that they occupy a slot is learned.
+/// - Requests that will be late yield to new ones, and are refused at once while new ones take all
+///   slots. This handles bursts for which waiting would only make all requests late.
 /// - A request that cannot start before its caller disconnects is refused as soon as that is known,
 ///   mostly on arrival, with the time after which the queue will have drained. This handles bursts
 ///   above the capacity.
