Withdraw an order whose object becomes unusable

cause: an entry that could not be decoded was ignored, also when it replaced the entry of a running roll-out. Its revision was not read either, so each status write failed: the coordinator repeated it every 250 ms without end, moved the traffic to the target, and never wrote `done`.

change: such an entry withdraws the order, as its deletion does.

--- a/src/gateway/rollout/rollout-task.cc
+++ b/src/gateway/rollout/rollout-task.cc
@@ -28,12 +28,17 @@
 }
 
 void RolloutTask::OnObject(const StoredObject& object) {
-  if (object.is_deleted) {
-    m_controller.RemoveEntry(ServiceName(object.name), m_timers.Now());
-  } else {
-    const Result<RolloutEntry> entry = m_protocol.DecodeRollout(object);
-    if (!IsOk(entry)) return Reject(object.name, ErrorOf(entry).message);
+  Result<RolloutEntry> entry = Error{ErrorKind::kNotFound, "deleted", ""};
+  if (!object.is_deleted) {
+    entry = m_protocol.DecodeRollout(object);
+    if (!IsOk(entry)) Reject(object.name, ErrorOf(entry).message);
+  }
+  if (IsOk(entry)) {
     m_controller.SetEntry(std::get<RolloutEntry>(entry), m_timers.Now());
+  } else {
+    // An order that became unusable has ended too: its status could not be written any more, since
+    // the object has another revision.
+    m_controller.RemoveEntry(ServiceName(object.name), m_timers.Now());
   }
   m_on_change();
   Update();
--- a/test/gateway-rollout-test.cc
+++ b/test/gateway-rollout-test.cc
@@ -245,6 +245,23 @@
   CheckExposure();
 }
 
+// Guards against an order that cannot be ended, because its object was made unusable meanwhile and
+// has another revision.
+BOOST_FIXTURE_TEST_CASE(OrderThatBecomesMalformedIsWithdrawn, Fixture) {
+  Order(0);
+  WaitForRunsOfTarget();
+  store.Put(names::kRolloutKind, kService, {{"service", kService}, {"deadline_s", 1}});
+  BOOST_TEST(RunUntil([&] { return LogsContain("the order was withdrawn"); }, kStartTimeout));
+  // Requests that were granted before may still be sent.
+  RunFor(kTimeAfterOutcome);
+  const std::size_t target_runs = runs[kTarget];
+  const std::size_t completed_before = completed_count;
+  RunFor(kTimeAfterOutcome);
+  BOOST_TEST(runs[kTarget] == target_runs);
+  BOOST_TEST(completed_count > completed_before);
+  BOOST_TEST(State() != "done");
+}
+
 // Guards against orders that cannot be used, but get a status or keep requests from their service.
 BOOST_FIXTURE_TEST_CASE(MalformedOrdersAreRejected, Fixture) {
   store.Put(names::kRolloutKind, kService,
