Bound what serve holds of unfinished requests, and its connections

cause: h2o buffers a body inside its connection until the body is complete and reports nothing before, so unfinished bodies took memory without limit. When descriptors ran out, each new connection was refused, so idle connections kept ordinary callers out.

change: HttpConnectionTracker inspects the buffers after sockets have been read: the input buffer of an HTTP/1 connection, and for an HTTP/2 connection with unfinished streams the bytes received less the finished bodies, limited to what its streams can hold. What the system has received for them is discarded. The receive buffer of a connection is 64 KB, which bounds what one iteration reads. serve returns freed blocks to the system as the gateway does. When descriptors run out, the oldest idle or unfinished connection of the address with most connections is closed. The limit counts all descriptors, since the number of a new one says little once low numbers are free again. Clients that are turned away are counted (rejected_clients) and logged (client_rejected). h2o's limit of streams (100) is fixed.

conclusion: both entry points are bounded. Bodies of requests that run are not part of the limit, and a header block (up to 400 KB) of an HTTP/2 connection without an unfinished stream is not counted.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -49,6 +49,8 @@
     SettingInfo{"--stop-timeout-s", "30", "1 to 600", "longest graceful shutdown, in seconds"},
     SettingInfo{"--max-answer-memory-mb", "256", "16 to 16384",
                 "memory for answers kept for callers, in MiB"},
+    SettingInfo{"--max-request-memory-mb", "32", "8 to 16384",
+                "memory for requests that are not complete, in MiB"},
     SettingInfo{"--check", "false", "true or false", "validate, print the settings and exit"},
 };
 
@@ -221,6 +223,8 @@
   settings.stop_timeout = std::chrono::seconds(values.Integer("--stop-timeout-s", 30, 1, 600));
   settings.max_answer_memory_bytes =
       static_cast<std::size_t>(values.Integer("--max-answer-memory-mb", 256, 16, 16384)) << 20U;
+  settings.max_request_memory_bytes =
+      static_cast<std::size_t>(values.Integer("--max-request-memory-mb", 32, 8, 16384)) << 20U;
   settings.is_check = values.Choice("--check", kBooleans, 0) == 1;
   return settings;
 }
@@ -291,6 +295,7 @@
       {"--max-body-bytes", std::to_string(settings.max_body_bytes)},
       {"--stop-timeout-s", std::to_string(settings.stop_timeout.count() / 1000)},
       {"--max-answer-memory-mb", std::to_string(settings.max_answer_memory_bytes >> 20U)},
+      {"--max-request-memory-mb", std::to_string(settings.max_request_memory_bytes >> 20U)},
       {"--check", settings.is_check ? "true" : "false"},
   };
   std::string text;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -38,6 +38,7 @@
   std::size_t max_body_bytes = 1U << 20U;
   Millis stop_timeout{30'000};
   std::size_t max_answer_memory_bytes = 256U << 20U;
+  std::size_t max_request_memory_bytes = 32U << 20U;
   bool is_check = false;  ///< validate, print and exit
 };
 
--- a/src/front/daemon.cc
+++ b/src/front/daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include <malloc.h>
 #include <openssl/rand.h>
 
 #include <array>
@@ -30,6 +31,10 @@
 // After the stop timeout, the time to deliver the error responses of the refused requests.
 constexpr Millis kFinalDeliveryTimeout{1'000};
 
+// Larger blocks of memory go back to the system when they are freed. By default the C library
+// raises this size with the blocks that are used, and keeps what was needed once.
+constexpr int kMinReturnedBlockBytes = 128 << 10;
+
 constexpr unsigned kIncarnationRandomBits = 20;
 
 volatile std::sig_atomic_t g_stop_signal = 0;
@@ -83,6 +88,7 @@
 HttpServerLimits MakeServerLimits(const Settings& settings) {
   HttpServerLimits limits;
   limits.max_body_bytes = settings.max_body_bytes;
+  limits.max_unfinished_bytes = settings.max_request_memory_bytes;
   return limits;
 }
 
@@ -203,6 +209,7 @@
 }
 
 int Daemon::Run() {
+  mallopt(M_MMAP_THRESHOLD, kMinReturnedBlockBytes);
   std::signal(SIGTERM, OnStopSignal);
   std::signal(SIGINT, OnStopSignal);
   const Result<Ok> started = Start();
--- a/src/front/http-front.cc
+++ b/src/front/http-front.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bluebellpass/event.h"
+#include "kernel/http1-server.h"
 #include "kernel/registry.h"
 
 namespace bluebellpass {
@@ -103,16 +104,30 @@
 
 HttpFrontend::HttpFrontend(FrontendContext context, HttpServerLimits limits)
     : m_context(context),
+      m_max_request_memory_bytes(limits.max_unfinished_bytes),
       m_random(static_cast<std::uint32_t>(context.network.Self().incarnation.Value())),
       m_server(context.loop, limits, [this](HttpRequest request, const ResponderPtr& responder) {
         HandleRequest(std::move(request), responder);
       }) {
   m_server.SetErrorBody(kNdjsonType,
                         [](int status) { return MakeErrorLine(MakeHttpLibraryError(status)); });
+  m_server.OnRejection([this](ClientRejection rejection) { OnClientRejected(rejection); });
 }
 
 HttpFrontend::~HttpFrontend() = default;
 
+void HttpFrontend::OnClientRejected(ClientRejection rejection) {
+  const std::string reason(NameOf(rejection));
+  m_context.metrics.IncrementCounter("rejected_clients", "reason=\"" + reason + "\"");
+  const auto bytes = static_cast<std::int64_t>(m_server.UnfinishedRequestBytes());
+  LogEvent(EventId::kClientRejected,
+           {{"reason", reason},
+            {"request_bytes", bytes},
+            {"used", bytes},
+            {"limit", static_cast<std::int64_t>(m_max_request_memory_bytes)},
+            {"connections", static_cast<std::int64_t>(m_server.ConnectionCount())}});
+}
+
 void HttpFrontend::HandleRequest(HttpRequest request, const ResponderPtr& responder) {
   const std::string& path = request.path;
   const bool is_get = request.method == "GET";
@@ -130,6 +145,10 @@
   if (path == "/healthz" && is_get) return HandleHealth(responder);
   if (path == "/metrics" && is_get) {
     if (m_metrics_hook) m_metrics_hook();
+    m_context.metrics.SetGauge("request_memory_bytes",
+                               static_cast<double>(m_server.UnfinishedRequestBytes()));
+    m_context.metrics.SetGauge("request_memory_limit_bytes",
+                               static_cast<double>(m_max_request_memory_bytes));
     return responder->Send(200, {{"content-type", "text/plain; version=0.0.4"}},
                            m_context.metrics.Render());
   }
--- a/src/front/http-front.h
+++ b/src/front/http-front.h
@@ -57,6 +57,7 @@
   class ResumedAnswer;
   using ResponderPtr = std::shared_ptr<HttpResponder>;
 
+  void OnClientRejected(ClientRejection rejection);
   void HandleRequest(HttpRequest request, const ResponderPtr& responder);
   void HandleSubmit(const HttpRequest& request, const ResponderPtr& responder);
   void HandleFetch(const HttpRequest& request, const ResponderPtr& responder);
@@ -68,6 +69,7 @@
   bool IsLocalTicket(const Ticket& ticket) const;
 
   FrontendContext m_context;
+  const std::size_t m_max_request_memory_bytes;
   std::minstd_rand m_random;
   std::uint64_t m_next_nonce = 1;
   CommandHandler m_command_handler;
--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -9,20 +9,30 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <limits>
 #include <unordered_set>
 
 #include "h2o.h"
+#include "http-connection-tracker.h"
+#include "http1-server.h"
 #include "loop.h"
 
 namespace bluebellpass {
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kStatusContentTooLarge = 413;
 constexpr std::size_t kMinCleanupThreshold = 64;
 // File descriptors reserved for the process's own connections, but at most a quarter of the limit.
 constexpr rlim_t kReservedDescriptors = 256;
 constexpr rlim_t kReservedDivisor = 4;
+// Counting the descriptors of the process reads a directory, so its result is used for this time.
+constexpr Millis kDescriptorCountValidity{1'000};
+// Receive buffer of a connection in the system. h2o reads until it is empty, and the limit on
+// unfinished requests is enforced after all sockets have been read, so this bounds by how much one
+// iteration can exceed it. The system's own default grows to several MB.
+constexpr int kReceiveBufferBytes = 64 << 10;
 
 /// @return the lowest descriptor that is not used for a client. The system assigns the lowest free
 /// number, so a descriptor of this number means that at least as many are in use.
@@ -34,6 +44,16 @@
   return static_cast<int>(std::min<rlim_t>(first, std::numeric_limits<int>::max()));
 }
 
+/// @return number of open descriptors of the process, or 0 if it is not known
+std::size_t CountDescriptors() {
+  std::error_code error;
+  std::size_t count = 0;
+  for (std::filesystem::directory_iterator entry("/proc/self/fd", error), end;
+       !error && entry != end; entry.increment(error))
+    ++count;
+  return error ? 0 : count;
+}
+
 std::string ToString(h2o_iovec_t text) { return {text.base, text.len}; }
 
 int HexDigit(char c) {
@@ -107,7 +127,9 @@
 /// Adapts a handler's writes to h2o, which accepts one buffer at a time and requests the next.
 class Responder : public HttpResponder, public std::enable_shared_from_this<Responder> {
  public:
-  Responder(EventLoop& loop, h2o_req_t* req) : m_loop(loop), m_req(req) {}
+  /// @param on_end called once h2o has sent the response or the client has disconnected
+  Responder(EventLoop& loop, h2o_req_t* req, std::function<void()> on_end)
+      : m_loop(loop), m_req(req), m_on_end(std::move(on_end)) {}
 
   /// The part that h2o uses. Allocated in the request's memory pool; keeps the responder alive.
   struct Generator {
@@ -240,6 +262,7 @@
   void OnDisconnected() {
     if (m_req == nullptr) return;
     m_req = nullptr;
+    if (const auto on_end = std::exchange(m_on_end, nullptr)) on_end();
     if (!m_is_final_sent && m_on_closed) {
       auto function = std::exchange(m_on_closed, nullptr);
       function();
@@ -250,6 +273,7 @@
 
   EventLoop& m_loop;
   h2o_req_t* m_req;
+  std::function<void()> m_on_end;
   Generator* m_generator = nullptr;
   std::string m_pending;
   std::string m_in_flight;
@@ -294,9 +318,14 @@
   // Responses that may still be open. Ended ones are removed when the list has doubled.
   std::vector<std::weak_ptr<Responder>> responses;
   std::size_t cleanup_threshold = kMinCleanupThreshold;
+  HttpConnectionTracker tracker;
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+  TimePoint next_descriptor_count{};
 
   Impl(EventLoop& event_loop, HttpServerLimits limits, HttpHandler function)
-      : loop(event_loop), handler(std::move(function)) {
+      : loop(event_loop),
+        handler(std::move(function)),
+        tracker(context, limits.max_unfinished_bytes, limits.max_body_bytes) {
     h2o_config_init(&config);
     config.server_name = h2o_iovec_init(H2O_STRLIT("bluebellpass"));
     config.max_request_entity_size = limits.max_body_bytes;
@@ -316,11 +345,19 @@
     h2o_context_init(&context, loop.Native(), &config);
     accept.ctx = &context;
     accept.hosts = config.hosts;
+    loop.AddSocketHook(this, [this] { tracker.EnforceLimit(loop.Now()); });
   }
 
   static int OnRequest(h2o_handler_t* handler, h2o_req_t* req) {
     Impl* impl = reinterpret_cast<Handler*>(handler)->impl;
-    auto responder = std::make_shared<Responder>(impl->loop, req);
+    const std::uint64_t connection = impl->tracker.BeginResponse(req);
+    // The client can't get a response any more, so its request is not run.
+    if (connection == 0) {
+      h2o_send_error_503(req, "Service Unavailable", "connection closed", 0);
+      return 0;
+    }
+    auto responder = std::make_shared<Responder>(
+        impl->loop, req, [impl, connection] { impl->tracker.EndResponse(connection); });
     responder->Attach();
     if (impl->responses.size() >= impl->cleanup_threshold) impl->RemoveEndedResponses();
     impl->responses.push_back(responder);
@@ -330,6 +367,9 @@
 
   static void OnErrorResponse(h2o_filter_t* filter, h2o_req_t* req, h2o_ostream_t** slot) {
     const Impl* impl = reinterpret_cast<ErrorFilter*>(filter)->impl;
+    impl->tracker.ReportRejection(req->res.status == kStatusContentTooLarge
+                                      ? ClientRejection::kBodyTooLarge
+                                      : ClientRejection::kMalformed);
     if (impl->error_body) {
       auto* stream =
           reinterpret_cast<ErrorStream*>(h2o_add_ostream(req, sizeof(ErrorStream), slot));
@@ -369,6 +409,23 @@
     cleanup_threshold = 2 * responses.size() + kMinCleanupThreshold;
   }
 
+  /// Decides whether descriptors are left for one more client. Once low numbers have become free
+  /// again, the number of a new descriptor does not tell how many are in use.
+  bool HasRoomFor(int descriptor) {
+    const std::size_t open = tracker.OpenCount();
+    if (descriptor < first_reserved_descriptor && open < max_connections) return true;
+    if (loop.Now() >= next_descriptor_count) {
+      next_descriptor_count = loop.Now() + kDescriptorCountValidity;
+      const auto most = static_cast<std::size_t>(first_reserved_descriptor);
+      // The new descriptor is not among the connections yet.
+      const std::size_t clients = tracker.ConnectionCount() + 1;
+      const std::size_t all = CountDescriptors();
+      const std::size_t others = all > clients ? all - clients : 0;
+      max_connections = most > others ? most - others : 0;
+    }
+    return open < max_connections;
+  }
+
   static void OnAccept(h2o_socket_t* listener, const char* error) {
     if (error != nullptr) return;
     auto* impl = static_cast<Impl*>(listener->data);
@@ -376,8 +433,11 @@
     if (socket == nullptr) return;
     // Closing excess connections keeps the accept queue moving. Without free descriptors accept
     // would always fail and wake the loop again and again.
-    if (h2o_socket_get_fd(socket) >= impl->first_reserved_descriptor)
+    if (!impl->HasRoomFor(h2o_socket_get_fd(socket)) && !impl->tracker.CloseOldest()) {
+      impl->tracker.ReportRejection(ClientRejection::kConnections);
       return h2o_socket_close(socket);
+    }
+    impl->tracker.Add(socket);
     h2o_accept(&impl->accept, socket);
   }
 };
@@ -387,6 +447,8 @@
 
 HttpServer::~HttpServer() {
   StopAccepting();
+  m_impl->loop.RemoveSocketHook(m_impl.get());
+  m_impl->tracker.OnRejection(nullptr);
   KeepUntilExit(std::shared_ptr<Impl>(m_impl.release(), [](Impl*) {}));
 }
 
@@ -395,6 +457,10 @@
   m_impl->error_body = std::move(body);
 }
 
+void HttpServer::OnRejection(std::function<void(ClientRejection rejection)> function) {
+  m_impl->tracker.OnRejection(std::move(function));
+}
+
 Result<Address> HttpServer::Listen(const Address& address) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in name{};
@@ -412,6 +478,7 @@
   }
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
   auto* socket_address = reinterpret_cast<sockaddr*>(&name);
   if (bind(fd, socket_address, sizeof(name)) != 0) return fail("cannot bind");
   if (listen(fd, kListenBacklog) != 0) return fail("cannot listen on");
@@ -433,4 +500,8 @@
 
 std::size_t HttpServer::OpenResponses() const { return m_impl->CountOpenResponses(); }
 
+std::size_t HttpServer::UnfinishedRequestBytes() const { return m_impl->tracker.UnfinishedBytes(); }
+
+std::size_t HttpServer::ConnectionCount() const { return m_impl->tracker.ConnectionCount(); }
+
 }  // namespace bluebellpass
--- a/src/kernel/http-server.h
+++ b/src/kernel/http-server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 namespace bluebellpass {
 
 class EventLoop;
+enum class ClientRejection : std::uint8_t;
 
 /// A complete request, as passed to the handler. Header names are in lower case.
 struct HttpRequest {
@@ -62,6 +64,9 @@
 struct HttpServerLimits {
   std::size_t max_body_bytes = 4U << 20U;
   Millis request_timeout{10'000};  ///< for the request's headers and body to arrive
+  /// Limit on the buffers of all requests that are not complete. Above it, the connections with the
+  /// largest ones are closed.
+  std::size_t max_unfinished_bytes = 32U << 20U;
 };
 
 /// HTTP/1.1 and HTTP/2 (prior knowledge or upgrade) server based on h2o.
@@ -76,6 +81,10 @@
   /// @param body returns the body for an HTTP status; without it the responses are plain text
   void SetErrorBody(std::string content_type, std::function<std::string(int status)> body);
 
+  /// Sets a function that is called for each client whose connection is closed because of a limit,
+  /// before its request was handled.
+  void OnRejection(std::function<void(ClientRejection rejection)> function);
+
   /// Opens the listening socket. Port 0 selects a free port.
   /// @return the bound address, or kInternal with the system's error message
   Result<Address> Listen(const Address& address);
@@ -85,6 +94,9 @@
 
   /// @return number of responses that have not been passed to the system completely
   std::size_t OpenResponses() const;
+  /// @return bytes that buffers of unfinished requests take
+  std::size_t UnfinishedRequestBytes() const;
+  std::size_t ConnectionCount() const;
 
  private:
   struct Impl;
--- a/src/kernel/loop.cc
+++ b/src/kernel/loop.cc
@@ -90,6 +90,7 @@
   }
   DetectPause();
   UpdateNow();
+  for (const auto& [owner, function] : m_socket_hooks) function();
   RunTimers();
   RunPosted();
 }
--- a/src/kernel/loop.h
+++ b/src/kernel/loop.h
@@ -42,6 +42,13 @@
     m_on_pause = std::move(function);
   }
 
+  /// Sets a function that is called in each iteration after sockets have been handled.
+  /// @param owner key for removal
+  void AddSocketHook(const void* owner, std::function<void()> function) {
+    m_socket_hooks[owner] = std::move(function);
+  }
+  void RemoveSocketHook(const void* owner) { m_socket_hooks.erase(owner); }
+
   /// Calls the pause handler if the current iteration exceeds the threshold. Must be called before
   /// a step that must not follow an undetected pause, since the loop handles sockets before it
   /// checks.
@@ -64,6 +71,7 @@
   std::map<TimerKey, std::function<void()>> m_timers;
   std::unordered_map<TimerId, TimePoint> m_due_times;
   std::deque<std::function<void()>> m_posted;
+  std::map<const void*, std::function<void()>> m_socket_hooks;
   Millis m_pause_threshold{0};
   std::function<void(Millis)> m_on_pause;
 };
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -1,7 +1,12 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include "client-crowd.h"
 #include "kernel/http-client.h"
 #include "kernel/http-server.h"
+#include "kernel/http1-server.h"
 #include "kernel/loop.h"
 #include "raw-server.h"
 
@@ -192,4 +197,108 @@
   BOOST_TEST(std::get<HttpResponse>(*response).body == "ok");
 }
 
+namespace {
+
+/// A server with limits of its own, and what it reports of clients that it turns away.
+struct LimitedFixture {
+  EventLoop loop;
+  std::size_t handled = 0;
+  std::vector<ClientRejection> rejections;
+  HttpServer server;
+  HttpClient client{loop};
+  Address address;
+
+  explicit LimitedFixture(std::size_t max_unfinished_bytes)
+      : server(loop, {.max_unfinished_bytes = max_unfinished_bytes},
+               [this](HttpRequest, std::shared_ptr<HttpResponder> responder) {
+                 ++handled;
+                 responder->Send(200, {}, "");
+               }) {
+    server.OnRejection([this](ClientRejection rejection) { rejections.push_back(rejection); });
+    address = std::get<Address>(server.Listen({"127.0.0.1", 0}));
+  }
+  template <class Condition>
+  bool RunUntil(Condition condition) {
+    for (int iteration = 0; iteration < kMaxIterations && !condition(); ++iteration)
+      loop.RunOnce(Millis{10});
+    return condition();
+  }
+  /// @return status of an ordinary request, or 0
+  int Ask() {
+    std::optional<int> status;
+    client.Fetch({.address = address}, [&](Result<HttpResponse> result) {
+      status = IsOk(result) ? std::get<HttpResponse>(result).status : 0;
+    });
+    RunUntil([&] { return status.has_value(); });
+    return status.value_or(0);
+  }
+};
+
+std::string PostHead(std::size_t body_bytes) {
+  return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+}
+
+}  // namespace
+
+// Guards against unbounded memory for unfinished bodies, against closing small ones instead of the
+// largest one, and against handling a request of a connection that was closed.
+BOOST_AUTO_TEST_CASE(LargestUnfinishedBodyIsClosed) {
+  LimitedFixture fixture(1U << 20U);
+  constexpr std::size_t kLargeBytes = 2U << 20U;
+  constexpr std::size_t kSmallBytes = 64U << 10U;
+  test::ClientCrowd small(fixture.loop, fixture.address, 1,
+                          {PostHead(kSmallBytes) + std::string(kSmallBytes - 1, 'x'), "x", 1});
+  BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.server.UnfinishedRequestBytes() > 0; }));
+  test::ClientCrowd large(fixture.loop, fixture.address, 1,
+                          {PostHead(kLargeBytes), std::string(kLargeBytes, 'x'), 1});
+  BOOST_TEST(fixture.RunUntil([&] {
+    large.SendMore();
+    return !fixture.rejections.empty();
+  }));
+  BOOST_TEST((fixture.rejections == std::vector{ClientRejection::kMemory}));
+  BOOST_TEST(fixture.Ask() == 200);
+  BOOST_TEST(fixture.handled == 1U);
+  small.SendMore();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.handled == 2; }));
+  BOOST_TEST(fixture.rejections.size() == 1U);
+}
+
+// Guards against a limit that callers inside the limits meet, and against counting requests that
+// are complete.
+BOOST_AUTO_TEST_CASE(LargestBodiesAtOnceAreHandled) {
+  LimitedFixture fixture(HttpServerLimits{}.max_unfinished_bytes);
+  constexpr std::size_t kCallers = 15;
+  constexpr std::size_t kBodyBytes = 1U << 20U;
+  for (std::size_t round = 1; round <= 4; ++round) {
+    test::ClientCrowd crowd(fixture.loop, fixture.address, kCallers,
+                            {PostHead(kBodyBytes), std::string(kBodyBytes, 'x'), 1});
+    BOOST_TEST(fixture.RunUntil([&] {
+      crowd.SendMore();
+      return fixture.handled == round * kCallers;
+    }));
+  }
+  BOOST_TEST(fixture.rejections.empty());
+}
+
+// Guards against idle connections that keep all other clients out.
+BOOST_AUTO_TEST_CASE(IdleConnectionsMakeWayForNewOnes) {
+  rlimit limit{};
+  BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  rlimit low = limit;
+  // A quarter is reserved, so clients may take what is left after about 40 connections. Each takes
+  // two descriptors, since its client is in this process.
+  constexpr std::size_t kIdleClients = 50;
+  constexpr std::size_t kAccepted = 40;
+  low.rlim_cur = (test::OpenDescriptors(getpid()) + kIdleClients + kAccepted) * 4 / 3;
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+  {
+    LimitedFixture fixture(HttpServerLimits{}.max_unfinished_bytes);
+    test::ClientCrowd idle(fixture.loop, fixture.address, kIdleClients, {});
+    BOOST_TEST(fixture.RunUntil([&] { return !fixture.rejections.empty(); }));
+    BOOST_TEST(fixture.Ask() == 200);
+    BOOST_TEST((fixture.rejections.back() == ClientRejection::kConnections));
+  }
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+}
+
 }  // namespace bluebellpass
