Test the lease and the immediate revert with processes

change: the reason of the bad version must be a strong finding, and during an outage of the store the target gets no more requests than the stored limit.

conclusion: the test fails when the lease, the revert or the exclusion of old backend servers is removed.

--- a/test/gateway-rollout-test.cc
+++ b/test/gateway-rollout-test.cc
@@ -177,7 +177,10 @@
   }
   void InterruptStore() {
     store.SetFault(StoreStandin::Fault::kSilent);
+    const json status = store.StatusOf(names::kRolloutKind, kService);
+    BOOST_REQUIRE(status.is_object());
     RunFor(kStoreOutage);
+    BOOST_TEST(runs[kTarget] <= status["progress"]["exposure_limit"].get<std::size_t>());
     store.SetFault(StoreStandin::Fault::kNone);
   }
 };
@@ -190,7 +193,8 @@
   CheckOutcome("done");
 }
 
-// Guards against a bad version that takes over, or gets more requests than the bounds allow.
+// Guards against a bad version that takes over, gets more requests than the bounds allow, or is
+// reverted on a late suspicion only.
 BOOST_FIXTURE_TEST_CASE(BadVersionIsReverted, Fixture) {
   Order(kBadFailurePercent);
   CheckOutcome("reverted");
@@ -201,7 +205,7 @@
   const json rows = Show(*coordinator);
   BOOST_REQUIRE(rows.size() == 1U);
   BOOST_TEST(rows[0]["state"] == "reverted");
-  BOOST_TEST(rows[0]["reason"] != "");
+  BOOST_TEST(rows[0]["reason"].get<std::string>().starts_with("failures"));
   BOOST_TEST(rows[0]["target_failures"].get<int>() > 0);
   const json same_rows = json::parse(Get(coordinator->metrics, "/v1/rollouts")->body)["rows"];
   BOOST_TEST(same_rows[0]["reason"] == rows[0]["reason"]);
