Report the head of a request before its body begins

cause: Beast reports the begin of a body with its first byte, and the parser passed on the head of a request only then. A body announced as too large was refused only after some of it, and a client that sent "Expect: 100-continue" waited for an answer to its head until the request timed out.

change: the head of a request is reported as soon as it is complete. Responses are parsed as before.

--- a/src/kernel/http1.cc
+++ b/src/kernel/http1.cc
@@ -65,9 +65,18 @@
     error = {};
     head.is_chunked = this->chunked();
     head.is_keep_alive = this->keep_alive();
+    // Beast begins the body at its first byte. The head of a request must be known before, since
+    // the client may wait for an answer to it.
+    if constexpr (kIsRequest) {
+      const auto length = this->content_length();
+      if (length && *length > 0) head.content_length = *length;
+      m_is_head_reported = true;
+      m_callbacks.on_head(head);
+    }
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length, BeastError& error) override {
     error = {};
+    if (m_is_head_reported) return;
     if (length) head.content_length = *length;
     m_is_head_reported = true;
     m_callbacks.on_head(head);
--- a/test/http1-test.cc
+++ b/test/http1-test.cc
@@ -41,6 +41,17 @@
   }
 }
 
+// Guards against a client that waits for an answer to its head (Expect: 100-continue, or a body
+// that is announced as too large), while the server waits for the body.
+BOOST_AUTO_TEST_CASE(HeadIsReportedBeforeTheBody) {
+  for (const char* framing : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    ParsedMessages parsed(HttpParser::Kind::kRequest);
+    const std::string head = std::string("POST / HTTP/1.1\r\nHost: h\r\n") + framing + "\r\n";
+    BOOST_TEST((parsed.parser.Parse(head) == ParseStatus::kNeedMore));
+    BOOST_TEST(parsed.heads.size() == 1U, framing);
+  }
+}
+
 // Guards against losing the second of two requests in one packet, or reading it as part of the
 // first.
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreParsedSeparately) {
