Test several of the largest requests at once on the smallest machine

cause: no test showed that clients inside the limits are served when several send the largest body allowed.

change: a case of untrusted-clients-test sends five bodies of 4 MiB at the same time to a gateway with 160 MB and 4,100 descriptors, and announces one byte more. The fixture takes the limits as a parameter; the other cases keep theirs.

--- a/test/untrusted-clients-test.cc
+++ b/test/untrusted-clients-test.cc
@@ -35,9 +35,9 @@
 constexpr std::size_t kChunkBytes = 64U << 10U;
 constexpr std::size_t kBytesOverLimit = 16U << 20U;
 
-std::string Head(const std::string& framing) {
+std::string Head(const std::string& framing, const std::string& attempt = "crowd") {
   return "POST /sound-mutating/x HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\n" +
-         names::kAttempt + ": crowd\r\n" + framing + "\r\n\r\n";
+         names::kAttempt + ": " + attempt + "\r\n" + framing + "\r\n\r\n";
 }
 
 std::string Chunk(std::size_t bytes) {
@@ -46,20 +46,35 @@
   return size + std::string(bytes, 'x') + "\r\n";
 }
 
+/// Limits of the process, in its settings and in the configuration.
+struct FixtureLimits {
+  std::size_t memory_megabytes = kMemoryMegabytes;
+  std::size_t max_descriptors = kMaxDescriptors;
+  std::size_t max_body_bytes = kMaxBodyBytes;
+};
+
+/// A request that has been sent, and its response.
+struct Caller {
+  std::shared_ptr<void> call;
+  int status = 0;
+  bool is_done = false;
+};
+
 struct Fixture : ClientFixture {
   StoreStandin store{loop, 1};
   EngineStandin engine{loop, "sound", 4, [](const SoakRun&) {}};
   GatewayProcess gateway{MakeLogFolder("untrusted-clients"), "g", store.Listen()};
   int request_count = 0;
 
-  Fixture() {
+  explicit Fixture(const FixtureLimits& limits = {}) {
     std::ofstream(gateway.settings_path, std::ios::app)
-        << "limits:\n  ram_mb: " << kMemoryMegabytes << "\n  max_fds: " << kMaxDescriptors << "\n";
+        << "limits:\n  ram_mb: " << limits.memory_megabytes
+        << "\n  max_fds: " << limits.max_descriptors << "\n";
     store.Put(names::kConfigKind, names::kConfigName,
               {{"version", 1},
                {"limits",
                 {{"max_header_bytes", kMaxHeaderBytes},
-                 {"max_body_bytes", kMaxBodyBytes},
+                 {"max_body_bytes", limits.max_body_bytes},
                  {"header_timeout_ms", 3'000},
                  {"idle_timeout_ms", 15'000}}},
                {"routes", json::array({{{"name", "r"},
@@ -169,4 +184,36 @@
   Play(kIdleClients, {"GET / HTTP/1.1\r\nHost: ", "", 0});
 }
 
+// Guards against refusing several of the largest requests allowed at once on the smallest machine.
+BOOST_AUTO_TEST_CASE(LargestRequestsAtOnceAreAnswered) {
+  constexpr std::size_t kLargestBodyBytes = 4U << 20U;
+  constexpr std::size_t kCallers = 5;
+  Fixture fixture({160, 4'100, kLargestBodyBytes});
+  HttpConnectionPool pool(fixture.loop, ConnectionPoolOptions{});
+  const auto send = [&](const std::string& head, const std::string& body) {
+    auto caller = std::make_shared<Caller>();
+    PooledCallHandlers handlers;
+    handlers.on_head = [caller](const HttpHead& response) {
+      caller->status = response.status;
+      return true;
+    };
+    handlers.on_end = [caller](PooledCallResult) { caller->is_done = true; };
+    caller->call = pool.StartCall(fixture.gateway.front, head + body, std::move(handlers), true);
+    return caller;
+  };
+  const std::string body(kLargestBodyBytes, 'x');
+  std::vector<std::shared_ptr<Caller>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i)
+    callers.push_back(send(
+        Head("Content-Length: " + std::to_string(body.size()), "a" + std::to_string(i)), body));
+  const auto is_done = [](const auto& caller) { return caller->is_done; };
+  BOOST_TEST(fixture.RunUntil([&] { return std::all_of(callers.begin(), callers.end(), is_done); },
+                              kAnswerTimeout));
+  for (const auto& caller : callers) BOOST_TEST(caller->status == 200);
+  const auto refused =
+      send(Head("Content-Length: " + std::to_string(kLargestBodyBytes + 1), "refused"), "");
+  BOOST_TEST(fixture.RunUntil([&] { return refused->is_done; }, kAnswerTimeout));
+  BOOST_TEST(refused->status == 413);
+}
+
 }  // namespace bluebellpass::test
