--- a/src/kernel/http-server.cc
+++ b/src/kernel/http-server.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusContentTooLarge = 413;
 constexpr std::size_t kMinCleanupThreshold = 64;
 // File descriptors reserved for the process's own connections, but at most a quarter of the limit.
@@ -92,6 +93,30 @@
   return parameters;
 }
 
+/// @return true if an HTTP/1 request states the length of its body more than once. h2o drops these
+/// headers and takes one of them, where another server could take the other one, so they are read
+/// from the head as received, which is still in the connection's buffer.
+bool HasAmbiguousLength(h2o_req_t* req) {
+  if (req->version >= 0x200) return false;
+  const h2o_socket_t* socket = req->conn->callbacks->get_socket(req->conn);
+  if (socket == nullptr || socket->input->bytes == nullptr) return false;
+  // The buffer begins with this request, perhaps after an empty line, which h2o ignores.
+  std::string_view head(socket->input->bytes, socket->input->size);
+  head.remove_prefix(std::min(head.find_first_not_of("\r\n"), head.size()));
+  std::size_t lengths = 0;
+  while (!head.empty()) {
+    const std::size_t line_end = std::min(head.find('\n'), head.size());
+    std::string_view line = head.substr(0, line_end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.empty()) break;
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (EqualsIgnoringCase(name, "content-length") || EqualsIgnoringCase(name, "transfer-encoding"))
+      ++lengths;
+    head.remove_prefix(std::min(line_end + 1, head.size()));
+  }
+  return lengths > 1;
+}
+
 HttpRequest ReadRequest(h2o_req_t* req) {
   HttpRequest request;
   request.method = ToString(req->method);
@@ -361,10 +386,23 @@
     responder->Attach();
     if (impl->responses.size() >= impl->cleanup_threshold) impl->RemoveEndedResponses();
     impl->responses.push_back(responder);
-    impl->handler(ReadRequest(req), responder);
+    if (HasAmbiguousLength(req)) {
+      impl->RefuseAmbiguousLength(*req, *responder);
+    } else {
+      impl->handler(ReadRequest(req), responder);
+    }
     return 0;
   }
 
+  void RefuseAmbiguousLength(h2o_req_t& req, Responder& responder) const {
+    tracker.ReportRejection(ClientRejection::kMalformed);
+    req.http1_is_persistent = 0;
+    responder.Send(
+        kStatusBadRequest,
+        {{"content-type", error_content_type.empty() ? "text/plain" : error_content_type}},
+        error_body ? error_body(kStatusBadRequest) : "");
+  }
+
   static void OnErrorResponse(h2o_filter_t* filter, h2o_req_t* req, h2o_ostream_t** slot) {
     const Impl* impl = reinterpret_cast<ErrorFilter*>(filter)->impl;
     impl->tracker.ReportRejection(req->res.status == kStatusContentTooLarge
