Take the quotas of cut-off instances from what the coordinator grants

cause: a coordinator that at least half follow granted whole quotas, and instances that were cut off granted their parts on top.

Instances that left or are not registered do not count. When a part shrinks, what is left in the buckets shrinks with it. After a takeover, grants before it count against the earlier part and what is left against the present one. Reports are accepted for two seconds instead of a window.

--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -61,7 +61,7 @@
 
 void Coordinator::SetShare(const FleetShare& share) {
   m_scheduler.SetShare(share.slot_index, share.slot_count);
-  m_quota.SetShare(share.quota, share.quota_instances);
+  m_quota.SetShare(share);
 }
 
 void Coordinator::Enqueue(RequestInfo request) {
--- a/src/gateway/decisions/quota.cc
+++ b/src/gateway/decisions/quota.cc
@@ -10,6 +10,11 @@
 // delays, so a window there may hold a little more than was granted in one.
 constexpr double kUsedBurstFraction = 0.9;
 
+// Reports are accepted for this long after a takeover. Followers reach a new coordinator within 1.5
+// s. Buckets are derived anew during this time, as if all who follow now had done so since the
+// takeover, which would be wrong for one that was cut off and has decided by itself for longer.
+constexpr Millis kReportTime{2'000};
+
 }  // namespace
 
 double QuotaLimiter::CostOf(const Organisation& organisation, const CallerRequest& request) {
@@ -31,6 +36,10 @@
   m_early_grants.clear();
 }
 
+bool QuotaLimiter::IsInHandover(TimePoint now) const {
+  return m_handover && now < m_handover->at + kReportTime;
+}
+
 void QuotaLimiter::StepDown() {
   m_is_coordinator = false;
   m_handover.reset();
@@ -46,14 +55,14 @@
 }
 
 void QuotaLimiter::MergeReport(const InstanceId& instance, const QuotaReport& report) {
-  Handover& handover = *m_handover;
+  QuotaHandover& handover = *m_handover;
   if (!handover.instances.insert(instance).second) return;
   if (report.remembered >= m_tolerance.window) ++handover.complete;
   handover.omitted_ratio += report.max_omitted_ratio;
   const QuotaSteps steps(m_tolerance.window);
   const OrganisationId* previous = nullptr;
   for (const GrantedAmount& granted : report.granted) {
-    Handover::Reported& reported = handover.reported[granted.organisation];
+    QuotaHandover::Reported& reported = handover.reported[granted.organisation];
     // The amounts of an organisation are adjacent.
     if (previous == nullptr || *previous != granted.organisation)
       reported.named_omitted_ratio += report.max_omitted_ratio;
@@ -65,17 +74,18 @@
 
 double QuotaLimiter::LevelAfterTakeover(const Organisation& organisation, const Bucket& bucket,
                                         TimePoint now) const {
-  const Handover& handover = *m_handover;
+  const QuotaHandover& handover = *m_handover;
   const QuotaSteps steps(m_tolerance.window);
-  const double capacity = CapacityOf(organisation);
-  const double rate_per_s = organisation.rate_per_s * m_share;
+  double capacity = CapacityOf(organisation, m_share.earlier_quota);
+  double rate_per_s = organisation.rate_per_s * m_share.earlier_quota;
   const double window_s = static_cast<double>(m_tolerance.window.count()) / 1000;
   const auto found = handover.reported.find(organisation.id);
-  static const Handover::Reported kNothing;
-  const Handover::Reported& reported = found == handover.reported.end() ? kNothing : found->second;
+  const QuotaHandover::Reported nothing;
+  const QuotaHandover::Reported& reported =
+      found == handover.reported.end() ? nothing : found->second;
   // Instances that have not reported count like the mean of those that have.
   const double scale =
-      std::max(1.0, static_cast<double>(m_instances) /
+      std::max(1.0, static_cast<double>(m_share.quota_instances) /
                         static_cast<double>(std::max<std::size_t>(handover.complete, 1)));
   double level = capacity;
   TimePoint time = handover.at - m_tolerance.window;
@@ -85,8 +95,20 @@
         std::min(capacity, level + std::chrono::duration<double>(to - time).count() * rate_per_s);
     time = to;
   };
+  bool has_taken_over = false;
+  const auto advance_past_takeover = [&](TimePoint to) {
+    if (!has_taken_over && to > handover.at) {
+      advance(handover.at);
+      has_taken_over = true;
+      // What is left is divided in the same way as the quotas from here on.
+      if (level > 0) level *= m_share.quota / m_share.earlier_quota;
+      capacity = CapacityOf(organisation, m_share.quota);
+      rate_per_s = organisation.rate_per_s * m_share.quota;
+    }
+    advance(to);
+  };
   const auto take = [&](std::int64_t step, double cost) {
-    advance(std::min(steps.EndOf(step), now));
+    advance_past_takeover(std::min(steps.EndOf(step), now));
     level -= cost;
   };
   const std::int64_t takeover_step = steps.StepOf(handover.at);
@@ -98,27 +120,27 @@
     take(step, step <= takeover_step ? cost * scale : cost);
   }
   for (; granted != bucket.granted.end(); ++granted) take(granted->first, granted->second);
-  advance(now);
+  advance_past_takeover(now);
   const double allowance = organisation.rate_per_s * window_s + organisation.burst;
   level -= (handover.omitted_ratio - reported.named_omitted_ratio) * allowance * scale;
-  if (2 * handover.complete >= m_instances) return level;
+  if (2 * handover.complete >= m_share.quota_instances) return level;
   double level_from_empty = std::chrono::duration<double>(now - handover.at).count() * rate_per_s;
   for (const auto& [step, cost] : bucket.granted) level_from_empty -= cost;
   return std::min(level, level_from_empty);
 }
 
-double QuotaLimiter::CapacityOf(const Organisation& organisation) const {
+double QuotaLimiter::CapacityOf(const Organisation& organisation, double share) const {
   // The largest amount that a window may hold above the steady rate.
   const double window_s = static_cast<double>(m_tolerance.window.count()) / 1000;
   const double steady = organisation.rate_per_s * window_s;
   const double max_burst =
       (steady + organisation.burst) * (1 + m_tolerance.excess_ratio) + m_tolerance.slack - steady;
-  return std::max(organisation.burst, max_burst * kUsedBurstFraction) * m_share;
+  return std::max(organisation.burst, max_burst * kUsedBurstFraction) * share;
 }
 
 QuotaLimiter::Bucket& QuotaLimiter::Refill(const Organisation& organisation, TimePoint now) {
-  const double capacity = CapacityOf(organisation);
-  const double rate_per_s = organisation.rate_per_s * m_share;
+  const double capacity = CapacityOf(organisation, m_share.quota);
+  const double rate_per_s = organisation.rate_per_s * m_share.quota;
   const auto [found, is_new] = m_buckets.try_emplace(organisation.id);
   Bucket& bucket = found->second;
   if (is_new) {
@@ -129,15 +151,21 @@
     bucket.level = LevelAfterTakeover(organisation, bucket, now);
   } else {
     if (m_handover) {
-      const TimePoint end = m_handover->at + m_tolerance.window;
+      const TimePoint end = m_handover->at + kReportTime;
       if (is_new || bucket.refilled_at < end) {
         bucket.level = LevelAfterTakeover(organisation, bucket, end);
         bucket.refilled_at = end;
         bucket.granted = {};
       }
+      // By then buckets have refilled from all that was reported.
+      if (now > end + 2 * m_tolerance.window) m_handover->reported.clear();
     }
     const double elapsed_s = std::chrono::duration<double>(now - bucket.refilled_at).count();
-    bucket.level = std::min(capacity, bucket.level + elapsed_s * rate_per_s);
+    bucket.level =
+        std::min(std::max(capacity, bucket.capacity), bucket.level + elapsed_s * rate_per_s);
+    // Instances that have just been cut off use their part of what is left.
+    if (bucket.level > 0 && capacity < bucket.capacity) bucket.level *= capacity / bucket.capacity;
+    bucket.level = std::min(bucket.level, capacity);
   }
   bucket.refilled_at = now;
   bucket.capacity = capacity;
--- a/src/gateway/decisions/quota.h
+++ b/src/gateway/decisions/quota.h
@@ -10,6 +10,7 @@
 
 #include "bluebellpass/gateway/model.h"
 #include "bluebellpass/types.h"
+#include "fleet-share.h"
 #include "quota-history.h"
 
 namespace bluebellpass::gateway {
@@ -22,26 +23,34 @@
   double slack = 0;
 };
 
+/// What instances have reported after a takeover.
+struct QuotaHandover {
+  struct Reported {
+    StepAmounts granted;
+    double named_omitted_ratio = 0;  ///< sum over the reports that name the organisation
+  };
+  TimePoint at;
+  std::set<InstanceId> instances;  ///< that have reported
+  std::size_t complete = 0;        ///< of these, the ones that remember a whole window
+  double omitted_ratio = 0;        ///< sum over all reports
+  std::map<OrganisationId, Reported> reported;
+};
+
 /// Token buckets of organisations, for the traffic that one coordinator schedules. Buckets are as
 /// large as the tolerance allows, so that a short burst is not refused.
 class QuotaLimiter {
  public:
   void SetTolerance(const QuotaTolerance& tolerance) { m_tolerance = tolerance; }
-  /// @param share fraction of each quota that this limiter may grant, 0 to 1
-  /// @param instances number of instances whose earlier grants count against this share
-  void SetShare(double share, std::size_t instances = 1) {
-    m_share = share;
-    m_instances = std::max<std::size_t>(instances, 1);
-  }
-  /// Starts to decide for the fleet. All buckets are dropped. For one window, new ones are derived
-  /// from the reports of the instances. As long as fewer than half of them have reported a whole
-  /// window, buckets fill up from empty, since all quotas may have been spent under another
-  /// coordinator.
+  /// Sets the part of the quotas that this limiter may grant.
+  void SetShare(const FleetShare& share) { m_share = share; }
+  /// Starts to decide for the fleet. All buckets are dropped, and new ones are derived from the
+  /// reports of the instances. If fewer than half of these have reported a whole window, buckets
+  /// fill up from empty, since all quotas may have been spent under another coordinator.
   void Reset(TimePoint now);
   /// Ends the time as coordinator.
   void StepDown();
   /// Adds what an instance was granted by others. Reports that arrive before the takeover are kept
-  /// for it. The first one of an instance counts, and none later than one window after the
+  /// for it. The first one of an instance counts, and none later than two seconds after the
   /// takeover.
   void AddReport(const InstanceId& instance, const QuotaReport& report, TimePoint now);
 
@@ -65,39 +74,24 @@
     double capacity = 0;
     double rate_per_s = 0;
     TimePoint refilled_at;
-    StepAmounts granted;  ///< since the takeover, up to one window after it
-  };
-  /// The reports after a takeover.
-  struct Handover {
-    struct Reported {
-      StepAmounts granted;
-      double named_omitted_ratio = 0;  ///< sum over the reports that name the organisation
-    };
-    TimePoint at;
-    std::set<InstanceId> instances;  ///< that have reported
-    std::size_t complete = 0;        ///< of these, the ones that remember a whole window
-    double omitted_ratio = 0;        ///< sum over all reports
-    std::map<OrganisationId, Reported> reported;
+    StepAmounts granted;  ///< since the takeover, while reports are accepted
   };
   struct EarlyReport {
     QuotaReport report;
     TimePoint received_at;
   };
-  double CapacityOf(const Organisation& organisation) const;
+  double CapacityOf(const Organisation& organisation, double share) const;
   Bucket& Refill(const Organisation& organisation, TimePoint now);
   void MergeReport(const InstanceId& instance, const QuotaReport& report);
-  /// @return level of a bucket at a time up to one window after the takeover
+  /// @return level of a bucket while reports are accepted
   double LevelAfterTakeover(const Organisation& organisation, const Bucket& bucket,
                             TimePoint now) const;
-  bool IsInHandover(TimePoint now) const {
-    return m_handover && now < m_handover->at + m_tolerance.window;
-  }
+  bool IsInHandover(TimePoint now) const;
 
   QuotaTolerance m_tolerance;
-  double m_share = 1;
-  std::size_t m_instances = 1;
+  FleetShare m_share;
   bool m_is_coordinator = false;
-  std::optional<Handover> m_handover;                 ///< of the last takeover
+  std::optional<QuotaHandover> m_handover;            ///< of the last takeover
   std::map<InstanceId, EarlyReport> m_early_reports;  ///< received before the takeover
   std::deque<GrantedAmount> m_early_grants;           ///< granted by this limiter before it
   std::map<OrganisationId, Bucket> m_buckets;
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -196,13 +196,16 @@
 void Fleet::UpdateShare() {
   std::size_t member_count = 1;
   std::size_t index = 0;
+  std::size_t missing = 0;
   for (const FleetMember* member : Candidates()) {
     ++member_count;
     if (member->id < m_options.id) ++index;
+    // Instances that have left, or are not registered yet, still follow but count nowhere.
+    if (!m_followers.contains(member->id)) ++missing;
   }
   const std::size_t present = m_followers.size() + 1;
   m_coordinator.Rollouts().SetRole(IsCoordinator(), 2 * present > member_count, m_loop.Now());
-  m_coordinator.SetShare(ShareOf({IsCoordinator(), index, member_count, present}));
+  m_coordinator.SetShare(ShareOf({IsCoordinator(), index, member_count, member_count - missing}));
 }
 
 void Fleet::Tick() {
--- a/test/gateway-quota-handover-test.cc
+++ b/test/gateway-quota-handover-test.cc
@@ -104,14 +104,20 @@
   }
 
   void MakeFault(std::int64_t now) {
-    m_next_fault = now + 2'000 + m_random() % 9'000;
+    m_next_fault = now + 2'000 + static_cast<std::int64_t>(m_random() % 9'000);
     if (m_options.has_partitions && m_random() % 2 == 0) {
       // Heals, cuts some off, or divides the fleet.
-      const std::size_t kind = m_random() % 4;
-      for (Instance& instance : m_instances)
-        instance.group = kind == 0   ? 0
-                         : kind == 1 ? m_random() % 2
-                                     : (m_random() % 4 == 0) * (1 + m_random() % 3);
+      const auto kind = m_random() % 4;
+      for (Instance& instance : m_instances) {
+        std::uint32_t group = 0;
+        if (kind == 1) group = m_random() % 2;
+        if (kind > 1) {
+          const bool is_cut_off = m_random() % 4 == 0;
+          const std::uint32_t other_group = 1 + m_random() % 3;
+          if (is_cut_off) group = other_group;
+        }
+        instance.group = static_cast<int>(group);
+      }
       return;
     }
     m_next_fault += m_options.has_partitions ? 0 : 14'000;
@@ -180,8 +186,7 @@
     position.known = 0;
     for (const Instance& other : m_instances)
       if (IsKnown(other, m_now)) ++position.known;
-    const FleetShare share = ShareOf(position);
-    self.limiter.SetShare(share.quota, share.quota_instances);
+    self.limiter.SetShare(ShareOf(position));
   }
 
   /// Callers address running instances at random.
--- a/test/gateway-quota-test.cc
+++ b/test/gateway-quota-test.cc
@@ -233,7 +233,7 @@
   for (int instance = 0; instance < 9; ++instance) {
     QuotaLimiter limiter;
     limiter.SetTolerance(kTolerance);
-    limiter.SetShare(1.0 / 9);
+    limiter.SetShare({0, 9, 1.0 / 9});
     for (std::int64_t ms = 0; ms < 8'000; ms += 10)
       while (limiter.TryTake(TokenLimitedOrganisation(), 500, At(ms))) taken += 500;
   }
