Split fleet messages into frames below the bound of a link

cause: all messages of an iteration went into one frame.

change: EncodeFleetFrames splits between messages, then lists of members, requests, crash records and verdicts. The parts of a list of requests take effect together (has_more). An object that does not fit alone is logged (message_oversized, 625) and announced without its contents; a revision that was announced without its change counts as applied only after it has arrived, also before the first confirmation of a link. A state transfer above 32 MiB is logged too. A refused frame closes its link.

Also run and passed: gateway-fleet-codec-test, gateway-relay-test, gateway-knowledge-test, gateway-election-test, gateway-registration-test, gateway-crash-fleet-test, network-test, events-test.

conclusion: no sender of the fleet exceeds the bound silently in these tests.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -91,6 +91,7 @@
   kRolloutRejected = 621,
   kClientRejected = 622,
   kStateReceived = 624,
+  kMessageOversized = 625,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -65,7 +65,7 @@
             wire::CreateSync(m_builder, m_builder.CreateVector(waiting),
                              m_builder.CreateVector(running), m_builder.CreateVector(granted),
                              std::min(report.remembered.count(), kMaxDurationMs),
-                             report.max_omitted_ratio)
+                             report.max_omitted_ratio, message.has_more)
                 .Union()};
   }
   Item operator()(const GrantedMessage& message) {
@@ -317,6 +317,7 @@
         report.granted.push_back({DecodeId<OrganisationId>(amount->organisation()),
                                   m_now - std::max(DecodeMillis(amount->age_ms()), Millis{0}),
                                   DecodeAmount(amount->cost())});
+    message.has_more = table.has_more();
     return message;
   }
   MembersMessage Decode(const wire::View& table) {
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -67,6 +67,7 @@
   std::vector<RequestInfo> waiting;
   std::vector<RunningRequest> running;
   QuotaReport quota_report;  ///< empty from builds that do not report
+  bool has_more = false;     ///< the next message of this type continues this one
 };
 // Coordinator to instance.
 struct GrantedMessage {
--- a/src/gateway/fleet/fleet-transfer.cc
+++ b/src/gateway/fleet/fleet-transfer.cc
@@ -1,3 +1,7 @@
+#include <iterator>
+
+#include "bluebellpass/event.h"
+#include "fleet-frames.h"
 #include "fleet.h"
 #include "kernel/loop.h"
 
@@ -19,4 +23,38 @@
   m_transfer_timer.Start(kTransferStep, [this] { SendStatePieces(); });
 }
 
+void Fleet::OnSyncRequests(const InstanceId& follower, SyncRequestsMessage message) {
+  SyncRequestsMessage& all = m_followers.at(follower).incomplete_sync;
+  std::move(message.waiting.begin(), message.waiting.end(), std::back_inserter(all.waiting));
+  std::move(message.running.begin(), message.running.end(), std::back_inserter(all.running));
+  // The first part has the report of quotas.
+  if (message.quota_report.remembered > Millis{0})
+    all.quota_report = std::move(message.quota_report);
+  if (message.has_more) return;
+  SyncRequestsMessage sync = std::exchange(all, {});
+  m_coordinator.AddQuotaReport(follower, sync.quota_report, m_loop.Now());
+  m_coordinator.SyncRequests(follower, std::move(sync.waiting), sync.running, m_loop.Now());
+}
+
+void Fleet::FlushOutboxes() {
+  m_is_flush_posted = false;
+  const TimePoint now = m_loop.Now();
+  // A failed send may close its link, which enqueues messages to others.
+  auto outboxes = std::exchange(m_outboxes, {});
+  for (auto& [key, outbox] : outboxes) {
+    const FleetFrames frames = EncodeFleetFrames(std::move(outbox.messages), now);
+    for (const OversizedMessage& message : frames.oversized)
+      LogEvent(EventId::kMessageOversized, {{"peer", outbox.link->Peer().id.Text()},
+                                            {"message", message.type},
+                                            {"object", message.object},
+                                            {"bytes", static_cast<std::int64_t>(message.bytes)}});
+    for (const std::string& payload : frames.payloads) {
+      if (outbox.link->Send(FleetFrame{payload}) || !outbox.link->IsReady()) continue;
+      // Both sides report their state over the next link.
+      outbox.link->Close("a frame was refused");
+      break;
+    }
+  }
+}
+
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -163,7 +163,7 @@
     m_transfers.Clear();
     m_coordinator.StepDown();
     Dial& dial = m_dials.at(id);
-    m_coordinator_peer = Peer{std::exchange(dial.link, nullptr), m_loop.Now()};
+    m_coordinator_peer = Peer{std::exchange(dial.link, nullptr), m_loop.Now(), 0, {}};
   }
   UpdateShare();
   m_next_probe = {};
@@ -344,8 +344,7 @@
     m_coordinator.RequestScheduler().AvoidBackend(avoid->backend, now + avoid->duration);
     if (avoid->is_unreachable) m_coordinator.OnBackendUnreachable(avoid->backend, now);
   } else if (auto* sync = std::get_if<SyncRequestsMessage>(&message)) {
-    m_coordinator.AddQuotaReport(follower, sync->quota_report, now);
-    m_coordinator.SyncRequests(follower, std::move(sync->waiting), sync->running, now);
+    OnSyncRequests(follower, std::move(*sync));
   } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
     m_coordinator.MergeCrashes(crashes->update, now);
   } else if (const auto* verdicts = std::get_if<RolloutVerdictsMessage>(&message)) {
@@ -425,15 +424,6 @@
   SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
 }
 
-void Fleet::FlushOutboxes() {
-  m_is_flush_posted = false;
-  const TimePoint now = m_loop.Now();
-  // A failed send may close its link, which enqueues messages to others.
-  const auto outboxes = std::exchange(m_outboxes, {});
-  for (const auto& [key, outbox] : outboxes)
-    outbox.link->Send(FleetFrame{EncodeFleetMessages(outbox.messages, now)});
-}
-
 void Fleet::SendToCoordinator(FleetMessage message) {
   // Dropped while there is no coordinator, because the next one is sent all requests anyway.
   if (m_coordinator_peer) Enqueue(*m_coordinator_peer, std::move(message));
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -110,7 +110,8 @@
   struct Peer {
     std::shared_ptr<Link> link;
     TimePoint last_frame_at;
-    FeatureSet features = 0;  ///< 0 until the instance has stated them
+    FeatureSet features = 0;                   ///< 0 until the instance has stated them
+    SyncRequestsMessage incomplete_sync = {};  ///< received parts of a message in several parts
   };
   /// Messages that are sent in the next iteration of the event loop.
   struct Outbox {
@@ -157,6 +158,7 @@
   /// Sends the next pieces of state to followers, until all is sent.
   void SendStatePieces();
   void RequestMissingState();
+  void OnSyncRequests(const InstanceId& follower, SyncRequestsMessage message);
   void FlushOutboxes();
   /// Sends a changed member to all followers, after a short time and with others.
   void BroadcastMember(const FleetMember& member);
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -1093,7 +1093,8 @@
     VT_RUNNING = 6,
     VT_GRANTED = 8,
     VT_REMEMBERED_MS = 10,
-    VT_MAX_OMITTED_RATIO = 12
+    VT_MAX_OMITTED_RATIO = 12,
+    VT_HAS_MORE = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::WorkT>> *waiting()
       const {
@@ -1115,6 +1116,7 @@
   }
   int64_t remembered_ms() const { return GetField<int64_t>(VT_REMEMBERED_MS, 0); }
   double max_omitted_ratio() const { return GetField<double>(VT_MAX_OMITTED_RATIO, 0.0); }
+  bool has_more() const { return GetField<uint8_t>(VT_HAS_MORE, 0) != 0; }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_WAITING) &&
            verifier.VerifyVector(waiting()) && verifier.VerifyVectorOfTables(waiting()) &&
@@ -1122,7 +1124,8 @@
            verifier.VerifyVectorOfTables(running()) && VerifyOffset(verifier, VT_GRANTED) &&
            verifier.VerifyVector(granted()) && verifier.VerifyVectorOfTables(granted()) &&
            VerifyField<int64_t>(verifier, VT_REMEMBERED_MS, 8) &&
-           VerifyField<double>(verifier, VT_MAX_OMITTED_RATIO, 8) && verifier.EndTable();
+           VerifyField<double>(verifier, VT_MAX_OMITTED_RATIO, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_MORE, 1) && verifier.EndTable();
   }
 };
 
@@ -1151,6 +1154,9 @@
   void add_max_omitted_ratio(double max_omitted_ratio) {
     fbb_.AddElement<double>(Sync::VT_MAX_OMITTED_RATIO, max_omitted_ratio, 0.0);
   }
+  void add_has_more(bool has_more) {
+    fbb_.AddElement<uint8_t>(Sync::VT_HAS_MORE, static_cast<uint8_t>(has_more), 0);
+  }
   explicit SyncBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1171,13 +1177,14 @@
     flatbuffers::Offset<
         flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::GrantedT>>>
         granted = 0,
-    int64_t remembered_ms = 0, double max_omitted_ratio = 0.0) {
+    int64_t remembered_ms = 0, double max_omitted_ratio = 0.0, bool has_more = false) {
   SyncBuilder builder_(_fbb);
   builder_.add_max_omitted_ratio(max_omitted_ratio);
   builder_.add_remembered_ms(remembered_ms);
   builder_.add_granted(granted);
   builder_.add_running(running);
   builder_.add_waiting(waiting);
+  builder_.add_has_more(has_more);
   return builder_.Finish();
 }
 
@@ -1187,7 +1194,7 @@
     const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::RunT>> *running = nullptr,
     const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::GrantedT>> *granted =
         nullptr,
-    int64_t remembered_ms = 0, double max_omitted_ratio = 0.0) {
+    int64_t remembered_ms = 0, double max_omitted_ratio = 0.0, bool has_more = false) {
   auto waiting__ =
       waiting ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::WorkT>>(*waiting)
               : 0;
@@ -1199,7 +1206,7 @@
           ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::GrantedT>>(*granted)
           : 0;
   return bluebellpass::gateway::wire::CreateSync(_fbb, waiting__, running__, granted__,
-                                                 remembered_ms, max_omitted_ratio);
+                                                 remembered_ms, max_omitted_ratio, has_more);
 }
 
 struct View FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/fleet/state-transfer.cc
+++ b/src/gateway/fleet/state-transfer.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "bluebellpass/event.h"
+
 namespace bluebellpass::gateway {
 namespace {
 
@@ -59,7 +61,14 @@
     Transfer transfer = std::move(m_waiting.front());
     m_waiting.pop_front();
     std::optional<std::string> content = source(transfer.request);
-    if (!content || content->size() > kMaxTransferBytes) continue;
+    if (!content) continue;
+    if (content->size() > kMaxTransferBytes) {
+      LogEvent(EventId::kMessageOversized, {{"peer", transfer.follower.Text()},
+                                            {"message", "state"},
+                                            {"object", ""},
+                                            {"bytes", static_cast<std::int64_t>(content->size())}});
+      continue;
+    }
     transfer.content = std::move(*content);
     m_active.push_back(std::move(transfer));
   }
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -113,6 +113,8 @@
               "a client was turned away before its request was handled"},
     EventInfo{kStateReceived, "state_received", kInfo,
               "changes that the store did not give this instance came from the coordinator"},
+    EventInfo{kMessageOversized, "message_oversized", kWarning,
+              "a message to another instance exceeds the bound of a frame and cannot be split"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
--- a/test/gateway-state-transfer-test.cc
+++ b/test/gateway-state-transfer-test.cc
@@ -5,6 +5,7 @@
 
 #include "fakes.h"
 #include "gateway-fakes.h"
+#include "gateway/fleet/fleet-frames.h"
 #include "gateway/fleet/relay.h"
 #include "gateway/state/routing-state.h"
 
@@ -369,6 +370,28 @@
   BOOST_TEST(request_count == before);
 }
 
+// Guards against a change that counts as applied although it did not fit into a frame: before the
+// first confirmation over a link and after it, the follower asks for it.
+BOOST_FIXTURE_TEST_CASE(OversizedObjectIsAskedFor, Fixture) {
+  for (const std::uint64_t revision : {20U, 30U}) {
+    const StoredObject object =
+        MakeObject("large", revision, std::string(3U << 20U, static_cast<char>('a' + revision)));
+    FleetFrames frames = EncodeFleetFrames(
+        {coordinator.relay.MakeAnnouncement(ObjectKind::kBackends, object, kInstances)}, {});
+    BOOST_TEST(frames.oversized.size() == 1U);
+    const auto decoded = DecodeFleetMessages(frames.payloads.at(0), InstanceId("home"), {});
+    BOOST_REQUIRE(IsOk(decoded));
+    ChangeOthers({object}, revision);
+    follower.relay.OnObject(std::get<ObjectMessage>(std::get<0>(decoded).at(0)));
+    Run(Millis{500});
+    BOOST_TEST((follower.backends.SeenRevision() < Revision(revision)));
+    // Backend servers and roll-outs, 6 MB, at the bounded rate of one piece a step.
+    Run(Millis{25'000});
+    BOOST_TEST((follower.backends.SeenRevision() == Revision(revision)));
+    BOOST_TEST((follower.backends.ObjectRevisions().at("large") == Revision(revision)));
+  }
+}
+
 // Guards against transfers that fill the coordinator's link: all followers share the bound of a
 // step, and each makes progress.
 BOOST_AUTO_TEST_CASE(FollowersShareTheBoundedRate) {
