Send a connection's last response completely before it is closed

cause: a connection that closes after its response was released in the next iteration, and its stream closed with it. What the client had not taken of the response by then was lost.

change: a stream that closes after its writes keeps itself until they are done, and calls its end handler no more, since the owner may have been destroyed. The keep-alive options and the memory account still end it.

Other tests of the gateway were not run.

conclusion: affected each response with "Connection: close" that exceeded the system's buffers, also while a gateway drains.

--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -179,6 +179,9 @@
   if (m_socket == nullptr) return;
   if (PendingBytes() == 0) return Close();
   m_is_closing_after_writes = true;
+  // The owner may be destroyed before the bytes have been sent.
+  m_kept_until_closed = shared_from_this();
+  m_on_end = nullptr;
   m_read_handler = nullptr;
   if (m_is_connected) h2o_socket_read_stop(m_socket);
 }
@@ -186,6 +189,7 @@
 void TcpStream::Close() {
   h2o_socket_t* socket = std::exchange(m_socket, nullptr);
   if (socket == nullptr) return;
+  const auto kept = std::exchange(m_kept_until_closed, nullptr);
   socket->data = nullptr;
   m_read_handler = nullptr;
   m_on_end = nullptr;
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -71,7 +71,8 @@
   std::size_t PendingBytes() const { return m_pending.size() + m_sending.size(); }
   /// Closes the connection without calling the end handler. Queued bytes are lost.
   void Close();
-  /// Closes the connection after all queued bytes have been sent.
+  /// Closes the connection after all queued bytes have been sent, also if its owner releases it
+  /// before. The end handler is not called any more.
   void CloseAfterWrites();
   bool IsOpen() const { return m_socket != nullptr; }
   bool IsConnected() const { return m_is_connected; }
@@ -103,6 +104,7 @@
   ReadHandler m_read_handler;
   EndHandler m_on_end;
   std::function<void()> m_on_connected;
+  std::shared_ptr<TcpStream> m_kept_until_closed;  ///< itself while it closes after its writes
   std::unique_ptr<MemoryAccount::Holder> m_pending_holder;  ///< null if nothing is counted
 };
 
--- a/test/http1-fuzz-test.cc
+++ b/test/http1-fuzz-test.cc
@@ -257,4 +257,17 @@
   for (const unsigned seed : {1U, 2U}) harness.Run(seed);
 }
 
+// Guards against a response that is cut when the connection closes after it.
+BOOST_AUTO_TEST_CASE(LastResponseIsCompleteBeforeTheClose) {
+  constexpr std::size_t kResponseBytes = 16U << 20U;
+  EventLoop loop;
+  Http1Server server(loop, {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+    exchange->Send(200, {}, std::string(kResponseBytes, 'x'));
+  });
+  Client client(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})));
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  for (int i = 0; i < kMaxIterations && client.IsOpen(); ++i) loop.RunOnce(Millis{5});
+  BOOST_TEST(client.received.size() > kResponseBytes);
+}
+
 }  // namespace bluebellpass
