Begin a switch to a new version only when it is in the store

cause: the coordinator began to move requests to the target before the switch was stored. With the store down, no instance that decides alone could see it, and requests went to the target beyond the stored limit (found in review). A reload without the contract allowed reverted versions.

change: the share of the target rises from the moment at which the stored status has the switch. A reload cannot disable roll-outs.

conclusion: exposure never exceeds the stored limit before the switch is stored.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -515,8 +515,10 @@
 void Gateway::ApplySettings() {
   m_buffer_memory.SetLimit(m_settings.max_buffer_memory);
   m_routing_state.SetBounds(MakeStalenessBounds(m_settings));
-  // Roll-outs cannot be enabled by a reload, since the entries are read from the start.
-  if (m_rollout_watch) m_coordinator.Rollouts().SetBounds(m_settings.rollout_bounds);
+  // A reload neither enables roll-outs, whose entries are read from the start, nor disables them,
+  // which would allow reverted versions.
+  if (m_rollout_watch && m_settings.rollout_bounds)
+    m_coordinator.Rollouts().SetBounds(m_settings.rollout_bounds);
   m_coordinator.SetQuotaTolerance(
       {m_settings.quota_window, m_settings.quota_excess_ratio, m_settings.quota_slack});
   if (m_relay)
--- a/src/gateway/rollout/service-rollout.cc
+++ b/src/gateway/rollout/service-rollout.cc
@@ -87,9 +87,10 @@
     m_state = status.state;
     m_reason = status.reason;
   }
-  if (m_state == RolloutState::kRunning && status.phase == RolloutPhase::kSwitching &&
-      m_phase == RolloutPhase::kProbing)
-    BeginSwitch(now);
+  if (status.phase == RolloutPhase::kSwitching && !m_switch_began) {
+    m_phase = RolloutPhase::kSwitching;
+    m_switch_began = now;
+  }
 }
 
 void ServiceRollout::OnEntry(const RolloutEntry& entry, TimePoint now) {
@@ -113,14 +114,10 @@
   m_retry_at = now;
 }
 
-void ServiceRollout::BeginSwitch(TimePoint now) {
-  m_phase = RolloutPhase::kSwitching;
-  m_switch_began = now;
-}
-
 double ServiceRollout::SwitchShare(TimePoint now) const {
   if (m_state == RolloutState::kDone) return 1;
-  if (m_state == RolloutState::kReverted || m_phase == RolloutPhase::kProbing) return 0;
+  // The switch begins when it is in the store, where a successor and lone instances see it.
+  if (m_state == RolloutState::kReverted || !m_switch_began) return 0;
   // An instance that decides alone follows the switch that it has read of.
   if (!m_is_coordinating) return 1;
   const Millis doubling_time =
@@ -144,7 +141,7 @@
 
 bool ServiceRollout::TakeExposure(bool is_packed, TimePoint now) {
   if (m_state != RolloutState::kRunning) return m_state == RolloutState::kDone;
-  if (m_phase == RolloutPhase::kProbing && Share(is_packed, now) <= 0) return false;
+  if (Share(is_packed, now) <= 0) return false;
   ++m_exposure;
   if (m_phase == RolloutPhase::kProbing && is_packed && ++m_packed_since_burst >= kBurstSize) {
     m_packed_since_burst = 0;
@@ -169,7 +166,10 @@
   if (elapsed < Fraction(m_order.deadline, kSwitchFraction)) return;
   const bool has_slots = slots.target > 0 && slots.target >= kRequiredSlotsFraction * slots.old;
   const auto suspicion = m_evaluation.FindFault(Evidence::kSuspicion);
-  if (has_slots && !suspicion && m_evaluation.HasEnoughResults()) return BeginSwitch(now);
+  if (has_slots && !suspicion && m_evaluation.HasEnoughResults()) {
+    m_phase = RolloutPhase::kSwitching;
+    return;
+  }
   if (elapsed < Fraction(m_order.deadline, kLatestSwitchFraction)) return;
   const VersionCounts target = m_evaluation.CountsOf(VersionGroup::kTarget);
   const VersionCounts old = m_evaluation.CountsOf(VersionGroup::kOld);
@@ -180,7 +180,7 @@
   if (target.failures > 1 && target.FailureRate() > old.FailureRate() + kMaxExcessOfFewResults)
     return Revert("the target has had failures among few results");
   if (elapsed >= m_order.deadline) return Revert("the deadline has passed");
-  BeginSwitch(now);
+  m_phase = RolloutPhase::kSwitching;
 }
 
 void ServiceRollout::Decide(const VersionSlots& slots, std::size_t old_runs, TimePoint now) {
@@ -189,10 +189,8 @@
   if (const auto fault = m_evaluation.FindFault(Evidence::kStrong)) return Revert(*fault);
   if (m_phase == RolloutPhase::kProbing) return DecideProbing(slots, now);
   const bool is_time_up = Elapsed(now) >= m_order.deadline - kDoneMargin;
-  const bool is_switch_stored = m_stored && m_stored->phase == RolloutPhase::kSwitching;
   const bool has_settled = SwitchShare(now - kMinTargetOnlyTime) >= 1;
-  if ((is_switch_stored && has_settled && old_runs == 0) || (is_time_up && SwitchShare(now) >= 1))
-    m_is_complete = true;
+  if ((has_settled && old_runs == 0) || (is_time_up && SwitchShare(now) >= 1)) m_is_complete = true;
 }
 
 std::uint64_t ServiceRollout::AllowedExposure() const {
--- a/src/gateway/rollout/service-rollout.h
+++ b/src/gateway/rollout/service-rollout.h
@@ -74,7 +74,6 @@
   std::uint64_t AllowedExposure() const;
   double SwitchShare(TimePoint now) const;
   void ApplyStored(const RolloutStatus& status, TimePoint now);
-  void BeginSwitch(TimePoint now);
   void DecideProbing(const VersionSlots& slots, TimePoint now);
 
   RolloutOrder m_order;
@@ -92,7 +91,7 @@
   std::uint64_t m_packed_since_burst = 0;  ///< packed requests of the present burst
   std::uint64_t m_next_burst_at = 0;       ///< exposure at which the next burst begins
   VersionEvaluation m_evaluation;
-  std::optional<TimePoint> m_switch_began;
+  std::optional<TimePoint> m_switch_began;  ///< when the switch was read from the store
   /// All old backend servers may be stopped: none of their runs is left, or time is up.
   bool m_is_complete = false;
 
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -402,6 +402,29 @@
   BOOST_TEST((UseOfOld() == VersionUse::kExcluded));
 }
 
+// Guards against a switch that begins while the store is down: no instance could see it.
+BOOST_FIXTURE_TEST_CASE(SwitchWaitsForTheStore, ControllerFixture) {
+  Order();
+  AddTarget();
+  Store();
+  for (int i = 0; i < 70; ++i) {
+    gateway::VersionResult result;
+    result.route = "r";
+    for (const Backend& backend : {old, target}) {
+      result.backend = backend.id;
+      controller.RecordResult(kService, result, now);
+    }
+  }
+  Advance(Millis{7'500});
+  BOOST_REQUIRE((controller.Summaries(now).at(0).phase == RolloutPhase::kSwitching));
+  Advance(Millis{1'000});
+  BOOST_TEST(!TakeExposure("not-stored-yet"));
+  BOOST_TEST((UseOfOld() == VersionUse::kAllowed));
+  Store();
+  Advance(Millis{100});
+  BOOST_TEST(TakeExposure("stored"));
+}
+
 // Guards against `done` while runs at old backend servers could still end in time.
 BOOST_FIXTURE_TEST_CASE(DoneWaitsForOldRuns, ControllerFixture) {
   Order();
