--- a/src/kernel/http1-pool.cc
+++ b/src/kernel/http1-pool.cc
@@ -143,8 +143,9 @@
       ++m_pool->stats.connects;
       m_connect_timer.Start(m_pool->options.connect_timeout,
                             [this] { Finish(PooledCallResult::kConnectFailed); });
-      m_stream = TcpStream::Connect(m_pool->loop, m_address, m_pool->options.keep_alive,
-                                    [this] { OnConnected(); }, m_pool->options.account);
+      m_stream = TcpStream::Connect(
+          m_pool->loop, m_address, m_pool->options.keep_alive, [this] { OnConnected(); },
+          m_pool->options.account);
     }
     m_stream->OnEnd([this](StreamEndReason reason) { OnStreamEnd(reason); });
     m_stream->Read([this](std::string_view received) { OnBytes(received); });
