Take state from the coordinator only where the settings ask for it

Cause: instances that are cut off from the store served requests with keys on transferred state.

Change: new setting fleet.state_transfer, off by default. It decides for the instance that asks; coordinators still answer, and messages are still split below the bound of a frame.

--- a/include/bluebellpass/gateway/settings.h
+++ b/include/bluebellpass/gateway/settings.h
@@ -40,6 +40,10 @@
   Millis quota_window{8'000};
   double quota_excess_ratio = 0;  ///< fraction by which a window may exceed an organisation's quota
   double quota_slack = 0;         ///< amount by which it may exceed the quota in addition
+  /// Whether this instance takes state that the store does not give it from the coordinator. Off by
+  /// default: instances that are cut off from the store then serve requests that would be refused,
+  /// and the fleet has no capacity to spare for them while it is loaded.
+  bool has_state_transfer = false;
   /// Bounds on unproven versions; absent if the deployment has no roll-outs.
   std::optional<RolloutBounds> rollout_bounds;
 };
--- a/src/gateway/fleet/fleet-transfer.cc
+++ b/src/gateway/fleet/fleet-transfer.cc
@@ -8,6 +8,7 @@
 namespace bluebellpass::gateway {
 
 void Fleet::RequestMissingState() {
+  if (!m_options.has_state_transfer) return;
   if (!m_coordinator_peer || (m_coordinator_peer->features & kFeatureStateTransfer) == 0) return;
   for (StateRequestMessage& request : m_relay->TakeRequests())
     Enqueue(*m_coordinator_peer, std::move(request));
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -34,7 +34,8 @@
   Incarnation incarnation;
   Address caller_address;
   Address peer_address;
-  double processor_share = 0;  ///< cores that the process may use; 0 if unknown
+  double processor_share = 0;       ///< cores that the process may use; 0 if unknown
+  bool has_state_transfer = false;  ///< whether missing state is requested from the coordinator
 };
 
 /// Connects this instance to the fleet's coordinator, or to its followers while it is the
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -146,6 +146,7 @@
   options.caller_address = settings.caller_listen;
   options.peer_address = settings.peer_listen;
   options.processor_share = settings.processor_share;
+  options.has_state_transfer = settings.has_state_transfer;
   return options;
 }
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -303,6 +303,13 @@
   BOOST_TEST(settings.max_buffer_memory == 40U << 20U);
   BOOST_TEST((settings.max_revocation_delay == Millis{5'000}));
   BOOST_TEST(settings.quota_slack == 140'000);
+  BOOST_TEST(!settings.has_state_transfer);
+  const auto enabled = ParseSettings(text + "fleet:\n  state_transfer: true\n");
+  BOOST_REQUIRE(IsOk(enabled));
+  BOOST_TEST(std::get<gateway::Settings>(enabled).has_state_transfer);
+  const auto invalid = ParseSettings(text + "fleet:\n  state_transfer: 7\n");
+  BOOST_REQUIRE(!IsOk(invalid));
+  BOOST_TEST(ErrorOf(invalid).field == "fleet.state_transfer");
   for (const char* line :
        {"node: \"n1\"\n", "  front: \"10.1.0.25:8221\"\n", "  addr: \"10.200.1.7:8225\"\n"}) {
     std::string missing = text;
