--- a/test/gateway-fleet-frames-test.cc
+++ b/test/gateway-fleet-frames-test.cc
@@ -61,6 +61,7 @@
 // messages beside one that does.
 BOOST_AUTO_TEST_CASE(MessagesOfAnIterationAreSplit) {
   std::vector<FleetMessage> messages;
+  messages.reserve(6);
   for (int i = 0; i < 4; ++i) messages.emplace_back(MakeObject(std::to_string(i), 900'000));
   messages.emplace_back(MakeObject("4", 5'000'000));
   messages.emplace_back(GrantedMessage{AttemptId("a"), BackendId("b")});
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -244,13 +244,13 @@
 // largest one, and against handling a request of a connection that was closed.
 BOOST_AUTO_TEST_CASE(LargestUnfinishedBodyIsClosed) {
   LimitedFixture fixture(1U << 20U);
-  constexpr std::size_t kLargeBytes = 2U << 20U;
-  constexpr std::size_t kSmallBytes = 64U << 10U;
+  constexpr std::size_t large_bytes = 2U << 20U;
+  constexpr std::size_t small_bytes = 64U << 10U;
   test::ClientCrowd small(fixture.loop, fixture.address, 1,
-                          {PostHead(kSmallBytes) + std::string(kSmallBytes - 1, 'x'), "x", 1});
+                          {PostHead(small_bytes) + std::string(small_bytes - 1, 'x'), "x", 1});
   BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.server.UnfinishedRequestBytes() > 0; }));
   test::ClientCrowd large(fixture.loop, fixture.address, 1,
-                          {PostHead(kLargeBytes), std::string(kLargeBytes, 'x'), 1});
+                          {PostHead(large_bytes), std::string(large_bytes, 'x'), 1});
   BOOST_TEST(fixture.RunUntil([&] {
     large.SendMore();
     return !fixture.rejections.empty();
@@ -267,14 +267,14 @@
 // are complete.
 BOOST_AUTO_TEST_CASE(LargestBodiesAtOnceAreHandled) {
   LimitedFixture fixture(HttpServerLimits{}.max_unfinished_bytes);
-  constexpr std::size_t kCallers = 15;
-  constexpr std::size_t kBodyBytes = 1U << 20U;
+  constexpr std::size_t callers = 15;
+  constexpr std::size_t body_bytes = 1U << 20U;
   for (std::size_t round = 1; round <= 4; ++round) {
-    test::ClientCrowd crowd(fixture.loop, fixture.address, kCallers,
-                            {PostHead(kBodyBytes), std::string(kBodyBytes, 'x'), 1});
+    test::ClientCrowd crowd(fixture.loop, fixture.address, callers,
+                            {PostHead(body_bytes), std::string(body_bytes, 'x'), 1});
     BOOST_TEST(fixture.RunUntil([&] {
       crowd.SendMore();
-      return fixture.handled == round * kCallers;
+      return fixture.handled == round * callers;
     }));
   }
   BOOST_TEST(fixture.rejections.empty());
@@ -287,13 +287,13 @@
   rlimit low = limit;
   // A quarter is reserved, so clients may take what is left after about 40 connections. Each takes
   // two descriptors, since its client is in this process.
-  constexpr std::size_t kIdleClients = 50;
-  constexpr std::size_t kAccepted = 40;
-  low.rlim_cur = (test::OpenDescriptors(getpid()) + kIdleClients + kAccepted) * 4 / 3;
+  constexpr std::size_t idle_clients = 50;
+  constexpr std::size_t accepted = 40;
+  low.rlim_cur = (test::OpenDescriptors(getpid()) + idle_clients + accepted) * 4 / 3;
   BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
   {
     LimitedFixture fixture(HttpServerLimits{}.max_unfinished_bytes);
-    test::ClientCrowd idle(fixture.loop, fixture.address, kIdleClients, {});
+    test::ClientCrowd idle(fixture.loop, fixture.address, idle_clients, {});
     BOOST_TEST(fixture.RunUntil([&] { return !fixture.rejections.empty(); }));
     BOOST_TEST(fixture.Ask() == 200);
     BOOST_TEST((fixture.rejections.back() == ClientRejection::kConnections));
--- a/test/http1-fuzz-test.cc
+++ b/test/http1-fuzz-test.cc
@@ -259,15 +259,15 @@
 
 // Guards against a response that is cut when the connection closes after it.
 BOOST_AUTO_TEST_CASE(LastResponseIsCompleteBeforeTheClose) {
-  constexpr std::size_t kResponseBytes = 16U << 20U;
+  constexpr std::size_t response_bytes = 16U << 20U;
   EventLoop loop;
   Http1Server server(loop, {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
-    exchange->Send(200, {}, std::string(kResponseBytes, 'x'));
+    exchange->Send(200, {}, std::string(response_bytes, 'x'));
   });
   Client client(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})));
   client.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   for (int i = 0; i < kMaxIterations && client.IsOpen(); ++i) loop.RunOnce(Millis{5});
-  BOOST_TEST(client.received.size() > kResponseBytes);
+  BOOST_TEST(client.received.size() > response_bytes);
 }
 
 }  // namespace bluebellpass
