--- a/test/standins/rollout-play.cc
+++ b/test/standins/rollout-play.cc
@@ -9,7 +9,6 @@
 
 using namespace gateway;  // NOLINT(google-build-using-namespace)
 
-constexpr Millis kStep{5};
 constexpr double kExposureRatio = 0.1;
 constexpr double kExposureSlack = 50;
 constexpr double kRollbackS = 5;
@@ -28,7 +27,7 @@
   double duration_factor = 1;
   int running = 0;
   std::uint64_t granted = 0;
-  bool is_affected(const CommonFault& fault, std::size_t index, std::size_t count) const {
+  bool IsAffected(const CommonFault& fault, std::size_t index, std::size_t count) const {
     return static_cast<double>(index) < fault.backend_share * static_cast<double>(count);
   }
 };
@@ -195,7 +194,7 @@
     bool is_failure = route == kRoutes[1] && Uniform() < kCallerErrorRate;
     for (const CommonFault& fault : m_options.common_faults) {
       if (m_now_s < fault.from_s || m_now_s >= fault.to_s) continue;
-      if (!server.is_affected(fault, chosen % m_options.backends, m_options.backends)) continue;
+      if (!server.IsAffected(fault, chosen % m_options.backends, m_options.backends)) continue;
       factor *= fault.slow_factor;
       is_failure = is_failure || Uniform() < fault.failure_rate;
     }
