--- a/test/untrusted-clients-test.cc
+++ b/test/untrusted-clients-test.cc
@@ -186,9 +186,9 @@
 
 // Guards against refusing several of the largest requests allowed at once on the smallest machine.
 BOOST_AUTO_TEST_CASE(LargestRequestsAtOnceAreAnswered) {
-  constexpr std::size_t kLargestBodyBytes = 4U << 20U;
-  constexpr std::size_t kCallers = 5;
-  Fixture fixture({160, 4'100, kLargestBodyBytes});
+  constexpr std::size_t largest_body_bytes = 4U << 20U;
+  constexpr std::size_t callers = 5;
+  Fixture fixture({160, 4'100, largest_body_bytes});
   HttpConnectionPool pool(fixture.loop, ConnectionPoolOptions{});
   const auto send = [&](const std::string& head, const std::string& body) {
     auto caller = std::make_shared<Caller>();
@@ -201,9 +201,9 @@
     caller->call = pool.StartCall(fixture.gateway.front, head + body, std::move(handlers), true);
     return caller;
   };
-  const std::string body(kLargestBodyBytes, 'x');
+  const std::string body(largest_body_bytes, 'x');
   std::vector<std::shared_ptr<Caller>> callers;
-  for (std::size_t i = 0; i < kCallers; ++i)
+  for (std::size_t i = 0; i < callers; ++i)
     callers.push_back(send(
         Head("Content-Length: " + std::to_string(body.size()), "a" + std::to_string(i)), body));
   const auto is_done = [](const auto& caller) { return caller->is_done; };
@@ -211,7 +211,7 @@
                               kAnswerTimeout));
   for (const auto& caller : callers) BOOST_TEST(caller->status == 200);
   const auto refused =
-      send(Head("Content-Length: " + std::to_string(kLargestBodyBytes + 1), "refused"), "");
+      send(Head("Content-Length: " + std::to_string(largest_body_bytes + 1), "refused"), "");
   BOOST_TEST(fixture.RunUntil([&] { return refused->is_done; }, kAnswerTimeout));
   BOOST_TEST(refused->status == 413);
 }
