--- a/test/untrusted-clients-test.cc
+++ b/test/untrusted-clients-test.cc
@@ -187,7 +187,7 @@
 // Guards against refusing several of the largest requests allowed at once on the smallest machine.
 BOOST_AUTO_TEST_CASE(LargestRequestsAtOnceAreAnswered) {
   constexpr std::size_t largest_body_bytes = 4U << 20U;
-  constexpr std::size_t callers = 5;
+  constexpr std::size_t caller_count = 5;
   Fixture fixture({160, 4'100, largest_body_bytes});
   HttpConnectionPool pool(fixture.loop, ConnectionPoolOptions{});
   const auto send = [&](const std::string& head, const std::string& body) {
@@ -203,7 +203,7 @@
   };
   const std::string body(largest_body_bytes, 'x');
   std::vector<std::shared_ptr<Caller>> callers;
-  for (std::size_t i = 0; i < callers; ++i)
+  for (std::size_t i = 0; i < caller_count; ++i)
     callers.push_back(send(
         Head("Content-Length: " + std::to_string(body.size()), "a" + std::to_string(i)), body));
   const auto is_done = [](const auto& caller) { return caller->is_done; };
