review: show that crash records do not outlive the loss of all instances

Cause: the records of crashes are in the memory of the instances only. Ruled out: without the loss the request is refused after its second send. The engine stand-in can crash and come back under a new id.

--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -22,6 +22,13 @@
 constexpr char kIp[] = "127.0.0.1";
 constexpr Millis kHeartbeat{1'200};
 constexpr Millis kStartTimeout{15'000};
+constexpr Millis kCrashDuration{2'500};
+
+std::uint64_t NowUnixMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
 
 bool IsPeerGone(int fd) {
   char byte = 0;
@@ -44,18 +51,22 @@
     : m_store(store),
       m_record(record),
       m_options(std::move(options)),
+      m_id(m_options.id),
+      m_born(NowUnixMillis()),
       m_server(kIp, [this](int fd, const Message& request) { return Answer(fd, request); }) {
-  Register(1);
+  Beat();
   std::thread([this] {
-    for (std::uint64_t sequence = 2;; ++sequence) {
+    while (true) {
       std::this_thread::sleep_for(kHeartbeat);
-      Register(sequence);
+      Beat();
     }
   }).detach();
 }
 
-void Engine::Register(std::uint64_t sequence) {
-  m_store.Put("servers", m_options.id,
+void Engine::Beat() {
+  const std::lock_guard lock(m_mutex);
+  if (m_is_down) return;
+  m_store.Put("servers", m_id,
               {{"service", m_options.service},
                {"addr", m_server.ListenAddress().Text()},
                {"zone", m_options.zone},
@@ -63,7 +74,30 @@
                {"slots", m_options.slots},
                {"state", "ready"},
                {"cold_left_ms", 0},
-               {"seq", sequence}});
+               {"born", m_born},
+               {"seq", ++m_sequence}});
+}
+
+void Engine::Crash() {
+  std::unique_lock lock(m_mutex);
+  m_record.Add("engine " + m_id + " crashes");
+  m_is_down = true;
+  lock.unlock();
+  m_server.Crash(kCrashDuration);
+  std::thread([this, old_id = m_id] {
+    std::this_thread::sleep_for(kCrashDuration + Millis{100});
+    {
+      const std::lock_guard restart(m_mutex);
+      m_id = m_options.id + "-" + std::to_string(++m_starts);
+      m_born = NowUnixMillis();
+      m_sequence = 0;
+      m_is_down = false;
+    }
+    Beat();
+    // The store removes an entry after three intervals of silence.
+    std::this_thread::sleep_for(3 * kHeartbeat - kCrashDuration);
+    m_store.Delete("servers", old_id);
+  }).detach();
 }
 
 std::vector<Run> Engine::Runs() {
@@ -71,22 +105,17 @@
   return m_runs;
 }
 
-std::string Engine::Seal(const Message& request) const {
-  return m_options.id + "." + request.Field("Request-Id");
-}
-
 bool Engine::Refuse(int fd, int status, const Message& request) {
   Message response = MakeResponse(status, "");
   response.fields.emplace_back("Request-Id", request.Field("Request-Id"));
   response.fields.emplace_back("Not-Run", "1");
-  m_record.Add("engine " + m_options.id + " rejects " + request.Field("Request-Id") + " with " +
+  m_record.Add("engine " + m_id + " rejects " + request.Field("Request-Id") + " with " +
                std::to_string(status));
   return SendAll(fd, ToText(response));
 }
 
 bool Engine::Answer(int fd, const Message& request) {
-  ++m_arrivals;
-  if (request.Has("Expect-Instance") && request.Field("Expect-Instance") != m_options.id)
+  if (request.Has("Expect-Instance") && request.Field("Expect-Instance") != m_id)
     return Refuse(fd, 421, request);
   if (request.Field("Request-Id").empty()) return Refuse(fd, 400, request);
   std::unique_lock lock(m_mutex);
@@ -98,9 +127,9 @@
   }
   ++m_running;
   const TimePoint now = Clock::now();
-  m_runs.push_back({request.Field("Request-Id"), m_options.id, request.Field("Tenant"), now});
+  m_runs.push_back({request.Field("Request-Id"), m_id, request.Field("Tenant"), now});
   lock.unlock();
-  m_record.Add("engine " + m_options.id + " runs " + request.Field("Request-Id") + " tenant '" +
+  m_record.Add("engine " + m_id + " runs " + request.Field("Request-Id") + " tenant '" +
                request.Field("Tenant") + "' tokens '" + request.Field("Token-Count") + "'");
   const bool is_open = Work(fd, request);
   lock.lock();
@@ -111,11 +140,15 @@
 
 bool Engine::Work(int fd, const Message& request) {
   const std::vector<std::pair<std::string, std::string>> fields = {
-      {"Request-Id", request.Field("Request-Id")}, {"Instance-Seal", Seal(request)}};
+      {"Request-Id", request.Field("Request-Id")},
+      {"Instance-Seal", m_options.id + "." + request.Field("Request-Id")}};
   if (m_options.events == 0) {
     std::this_thread::sleep_for(m_options.work);
-    const bool has_failed = m_options.fails && m_options.fails(request.Field("Request-Id"));
-    Message response = MakeResponse(has_failed ? 500 : 200, std::string(m_options.body_bytes, 'b'));
+    if (m_options.crashes && m_options.crashes(request)) {
+      Crash();
+      return false;
+    }
+    Message response = MakeResponse(200, std::string(m_options.body_bytes, 'b'));
     response.fields.insert(response.fields.end(), fields.begin(), fields.end());
     return SendAll(fd, ToText(response));
   }
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -34,8 +34,8 @@
   Millis work{50};
   int events = 0;               ///< of the answer to a request of a stream; 0: one body
   std::size_t body_bytes = 64;  ///< of an answer that is no stream
-  /// Answers that a run fails, by the request's id; may be null.
-  std::function<bool(const std::string& request_id)> fails;
+  /// @return true if a request crashes the engine that runs it; may be null
+  std::function<bool(const Message& request)> crashes;
   std::string zone;  ///< set by the deployment
 };
 
@@ -44,25 +44,27 @@
  public:
   Engine(Store& store, Record& record, EngineOptions options);
 
-  const std::string& Id() const { return m_options.id; }
   std::vector<Run> Runs();
-  std::size_t Arrivals() const { return m_arrivals; }
 
  private:
   bool Answer(int fd, const Message& request);
   bool Refuse(int fd, int status, const Message& request);
   bool Work(int fd, const Message& request);
-  std::string Seal(const Message& request) const;
-  void Register(std::uint64_t sequence);
+  void Crash();
+  void Beat();
 
   Store& m_store;
   Record& m_record;
   EngineOptions m_options;
+  std::string m_id;  ///< of this start
+  std::uint64_t m_born = 0;
+  std::uint64_t m_sequence = 0;
+  std::size_t m_starts = 0;
+  bool m_is_down = false;
   std::mutex m_mutex;
   std::condition_variable m_freed;
   int m_running = 0;
   int m_waiting = 0;
-  std::atomic<std::size_t> m_arrivals = 0;
   std::vector<Run> m_runs;
   Server m_server;
 };
--- a/review/standins-2/net.cc
+++ b/review/standins-2/net.cc
@@ -70,9 +70,11 @@
   m_fd = -1;
 }
 
-Descriptor Listen(const std::string& ip, Address& address) {
+Descriptor Listen(Address& address) {
   Descriptor listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  sockaddr_in name = MakeName({ip, 0});
+  const int on = 1;
+  setsockopt(listener.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in name = MakeName(address);
   socklen_t length = sizeof(name);
   if (bind(listener.Get(), reinterpret_cast<sockaddr*>(&name), sizeof(name)) != 0 ||
       listen(listener.Get(), kBacklog) != 0 ||
@@ -80,7 +82,7 @@
     std::perror("cannot listen");
     std::exit(2);
   }
-  address = {ip, ntohs(name.sin_port)};
+  address.port = ntohs(name.sin_port);
   return listener;
 }
 
@@ -107,8 +109,8 @@
 }
 
 std::uint16_t FindFreePort(const std::string& ip) {
-  Address address;
-  const Descriptor listener = Listen(ip, address);
+  Address address{ip, 0};
+  const Descriptor listener = Listen(address);
   return address.port;
 }
 
--- a/review/standins-2/net.h
+++ b/review/standins-2/net.h
@@ -46,8 +46,9 @@
   int segment_bytes = 0;         ///< largest TCP segment; 0: that of the loopback interface
 };
 
-/// @return a listening socket; its address is stored
-Descriptor Listen(const std::string& ip, Address& address);
+/// @param address where to listen; port 0 selects a free port, which is stored
+/// @return a listening socket
+Descriptor Listen(Address& address);
 /// @return a connected socket, or none after a failure
 Descriptor Connect(const Address& address, Millis timeout, const SocketOptions& options = {});
 /// @return a port of an address that no socket uses now
--- a/review/standins-2/server.h
+++ b/review/standins-2/server.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include "net.h"
@@ -17,10 +20,24 @@
 
   Server(const std::string& ip, Handler handler);
 
-  const Address& ListenAddress() const { return m_address; }
+  const Address& ListenAddress() const { return m_state->address; }
+  /// Ends the listening socket and all connections, as the crash of a process does.
+  /// @param duration after which the server listens again at the same address
+  void Crash(Millis duration);
 
  private:
-  Address m_address;
+  struct State {
+    Address address;
+    Handler handler;
+    std::mutex mutex;
+    Descriptor listener;
+    std::set<int> connections;
+    Millis down{0};  ///< how long the server is to be down
+  };
+  static void Accept(const std::shared_ptr<State>& state);
+  static void Serve(const std::shared_ptr<State>& state, Descriptor connection);
+
+  std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
 }  // namespace review
