Reject responses whose status is not one

Cause: an engine's response with the status 000 was taken for a failure of the engine and passed on. The caller of a request that must not be repeated got a head with status 0, which it can't read (a repeatable one got 502). Beast's parser accepts any three digits, and neither of the two clients checked what it had read; `serve` handed such a response to its parts as complete. Ruled out: heads cut off and other start lines ("20", "2000", "-20") were rejected before. Change: the parser of responses rejects a status outside 100 to 599 (RFC 9110, section 15) as malformed. Both clients, of the gateway and of `serve`, use it, so engines, services, stores, load reports and the operators' client are covered. Conclusion: statuses of 600 and more, which were passed on before, are malformed too. The status is checked before anything else of the head is used, so no case depends on a route.

--- a/src/kernel/http1.cc
+++ b/src/kernel/http1.cc
@@ -20,6 +20,9 @@
     "connection", "keep-alive",        "proxy-connection", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 
+// RFC 9110, section 15.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 // A decoded field takes far more memory than its few bytes in a head. Requests are limited by their
 // bytes alone, as stated to callers.
 constexpr std::size_t kMaxResponseFields = 256;
@@ -43,6 +46,10 @@
   }
   void on_response_impl(int code, BeastView /*reason*/, int version, BeastError& error) override {
     error = {};
+    if (code < kMinStatus || code > kMaxStatus) {
+      error = http::error::bad_status;
+      return;
+    }
     head.status = code;
     head.version = version;
   }
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -34,6 +34,7 @@
   HttpConnectionPool pool{loop, ConnectionPoolOptions{}};
   Address gateway{"127.0.0.1", FindFreePort()};
   Process process;
+  int broken_count = 0;
 
   Fixture() {
     const auto route = [](const char* prefix, const char* type, int attempts) {
@@ -126,6 +127,31 @@
     WaitForReceiver(id)->Write(response);
     BOOST_REQUIRE(RunUntil([&] { return caller.result.has_value(); }));
   }
+  /// Sends requests, to which an engine responds with the bytes given and closes its connection,
+  /// and checks that their callers get no part of them.
+  /// @param bytes `@` stands for the id of the request
+  void CheckThatNothingIsPassedOn(const std::string& bytes) {
+    for (const char* path : {"/once/x", "/chat/x"}) {
+      for (const bool is_reused : {false, true}) {
+        BOOST_TEST_CONTEXT(path << " " << is_reused << " " << bytes) {
+          const std::string id = "broken" + std::to_string(++broken_count);
+          if (is_reused) {
+            const auto first = Send("/once/x", "first" + id);
+            Respond("first" + id, Success("first" + id), *first);
+          }
+          const auto caller = Send(path, id);
+          const auto connection = WaitForReceiver(id);
+          std::string response = bytes;
+          response.replace(response.find('@'), 1, id);
+          connection->Write(response);
+          connection->CloseAfterWrites();
+          BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }));
+          BOOST_TEST(caller->status == 502);
+          BOOST_TEST(caller->body.empty());
+        }
+      }
+    }
+  }
   static std::string Success(const std::string& id, const std::string& fields = "") {
     return "HTTP/1.1 200 OK\r\n" + std::string(names::kAttempt) + ": " + id + "\r\n" +
            names::kSignature + ": s\r\n" + fields + "Content-Length: 4\r\n\r\ndone";
@@ -241,6 +267,15 @@
   }
 }
 
+// Guards against a response with an invalid status that reaches the caller as an answer.
+BOOST_FIXTURE_TEST_CASE(InvalidStatusIsNotAnAnswer, Fixture) {
+  AddEngines(1);
+  for (const char* status : {"000", "099", "600"})
+    CheckThatNothingIsPassedOn(std::string("HTTP/1.1 ") + status +
+                               " Odd\r\nRequest-Id: @\r\nInstance-Seal: s\r\n"
+                               "Content-Length: 4\r\n\r\ndone");
+}
+
 // Guards against a request that is run again, or called not run, after its answer was lost.
 BOOST_FIXTURE_TEST_CASE(LostAnswerIsNeitherRepeatedNorDenied, Fixture) {
   AddEngines(2);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -182,6 +182,25 @@
   }
 }
 
+// Guards against a response with a broken head that is taken for the answer of a store, an engine
+// or a service.
+BOOST_FIXTURE_TEST_CASE(BrokenHeadIsAnError, Fixture) {
+  for (const std::string head :
+       {"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n"}) {
+    BOOST_TEST_CONTEXT(head) {
+      RawServer raw(loop);
+      std::optional<Result<HttpResponse>> response;
+      client.Fetch({.address = raw.address},
+                   [&](Result<HttpResponse> result) { response = std::move(result); });
+      BOOST_REQUIRE(RunUntil([&] { return !raw.received.empty() && !raw.received[0].empty(); }));
+      raw.streams[0]->Write(head + "Content-Length: 2\r\n\r\nok");
+      BOOST_REQUIRE(RunUntil([&] { return response.has_value(); }));
+      const Error* error = std::get_if<Error>(&*response);
+      BOOST_TEST((error != nullptr && error->kind == ErrorKind::kStoreUncertain));
+    }
+  }
+}
+
 // Guards against interim responses that are taken for the answer.
 BOOST_FIXTURE_TEST_CASE(InterimResponseIsSkipped, Fixture) {
   RawServer raw(loop);
--- a/test/http1-test.cc
+++ b/test/http1-test.cc
@@ -128,6 +128,23 @@
   }
 }
 
+// Guards against a status that is none: valid ones are 100 to 599 (RFC 9110, section 15).
+BOOST_AUTO_TEST_CASE(InvalidStatusIsRejected) {
+  const auto response = [](const char* status) {
+    return std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 4\r\n\r\ndone";
+  };
+  for (const char* status : {"000", "001", "099", "600", "999", "20", "2000", "-20", "2 0"}) {
+    ParsedMessages parsed(HttpParser::Kind::kResponse);
+    BOOST_TEST((parsed.parser.Parse(response(status)) == ParseStatus::kFailed), status);
+    BOOST_TEST(parsed.heads.empty(), status);
+    BOOST_TEST(parsed.body.empty(), status);
+  }
+  for (const char* status : {"100", "200", "299", "500", "599"}) {
+    ParsedMessages parsed(HttpParser::Kind::kResponse);
+    BOOST_TEST((parsed.parser.Parse(response(status)) == ParseStatus::kMessageEnd), status);
+  }
+}
+
 // Guards against crashes and endless loops on malformed input.
 BOOST_AUTO_TEST_CASE(RandomBytesNeitherCrashNorHang) {
   std::mt19937 random(20261204);
