Reject responses with a blank before the name of a field

Cause: a line of a response's head that began with a blank or a tab was read as the rest of the field before it, as HTTP once allowed. The caller got that line as a part of another field. A length that it stated was not seen, so that the body was read until the connection ended, with all bytes that the engine had sent after it. Change: the parser of responses rejects such a head as malformed, one of the two ways that RFC 9112, section 5.2, leaves to a gateway. Joining the lines instead keeps what a broken head is taken for. Conclusion: requests are read as before. Fields after a chunked body are not passed on and are not checked.

--- a/src/kernel/http1.cc
+++ b/src/kernel/http1.cc
@@ -29,6 +29,14 @@
 
 std::string ToString(BeastView text) { return {text.data(), text.size()}; }
 
+/// @param bytes of a message, from its first one
+/// @return true if a line of the head begins with a blank. Such lines used to continue the field
+/// before (RFC 9112, section 5.2), and Beast's parser still reads them so.
+bool HasFoldedField(std::string_view bytes) {
+  const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  return head.find("\r\n ") != head.npos || head.find("\r\n\t") != head.npos;
+}
+
 /// Collects the head of a message from Beast's parser and passes on its body.
 template <bool kIsRequest>
 class MessageCollector : public http::basic_parser<kIsRequest> {
@@ -134,6 +142,10 @@
     if constexpr (!kIsRequest) m_parser.skip(has_no_body);
   }
   std::size_t Feed(std::string_view bytes, BeastError& error) override {
+    if (!kIsRequest && !m_parser.is_header_done() && HasFoldedField(bytes)) {
+      error = http::error::bad_field;
+      return 0;
+    }
     const std::size_t used =
         m_parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
     if (error == http::error::need_more) error = {};
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -276,6 +276,17 @@
                                "Content-Length: 4\r\n\r\ndone");
 }
 
+// Guards against a blank or control byte in the name of a field: the line would reach the caller,
+// or the length that it states would not be seen, and the caller get more than the body.
+BOOST_FIXTURE_TEST_CASE(InvalidFieldNameIsNotAnAnswer, Fixture) {
+  AddEngines(1);
+  const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n";
+  const std::string event = "id: 1\ndata: x\n\n";
+  for (const char* line : {" Content-Length: 15\r\n", "\tX-Note: v\r\n", "Content-Length : 15\r\n",
+                           "X Note: v\r\n", "X\x01Note: v\r\n"})
+    CheckThatNothingIsPassedOn(start + line + "\r\n" + event + event);
+}
+
 // Guards against a request that is run again, or called not run, after its answer was lost.
 BOOST_FIXTURE_TEST_CASE(LostAnswerIsNeitherRepeatedNorDenied, Fixture) {
   AddEngines(2);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -186,7 +186,9 @@
 // or a service.
 BOOST_FIXTURE_TEST_CASE(BrokenHeadIsAnError, Fixture) {
   for (const std::string head :
-       {"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n"}) {
+       {"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n",
+        "HTTP/1.1 200 OK\r\nX: v\r\n Y: w\r\n", "HTTP/1.1 200 OK\r\nX: v\r\n\tY: w\r\n",
+        "HTTP/1.1 200 OK\r\nX Y: w\r\n", "HTTP/1.1 200 OK\r\nX\x01: w\r\n"}) {
     BOOST_TEST_CONTEXT(head) {
       RawServer raw(loop);
       std::optional<Result<HttpResponse>> response;
--- a/test/http1-test.cc
+++ b/test/http1-test.cc
@@ -145,6 +145,38 @@
   }
 }
 
+// Guards against a head with a blank or a control byte in the name of a field. Such a line would
+// be passed on, as a field or as a part of the one before it, or the length that it states would
+// be ignored.
+BOOST_AUTO_TEST_CASE(BlankOrControlByteInFieldNameIsRejected) {
+  const std::string fields[] = {"Request-Id: r\r\n", "Content-Length: 4\r\n", "X-Last: v\r\n"};
+  for (int byte = 0; byte < 256; ++byte) {
+    if (byte > ' ' && byte < 0x7f) continue;
+    for (std::size_t field = 0; field < std::size(fields); ++field) {
+      const std::size_t name_size = fields[field].find(':');
+      for (const std::size_t at : {std::size_t{0}, name_size / 2, name_size}) {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (std::size_t i = 0; i < std::size(fields); ++i) {
+          std::string line = fields[i];
+          if (i == field) line.insert(at, 1, static_cast<char>(byte));
+          text += line;
+        }
+        text += "\r\ndone";
+        for (const std::size_t step : {text.size(), std::size_t{1}}) {
+          ParsedMessages parsed(HttpParser::Kind::kResponse);
+          ParseStatus status = ParseStatus::kNeedMore;
+          for (std::size_t i = 0; i < text.size() && status == ParseStatus::kNeedMore; i += step)
+            status = parsed.parser.Parse(std::string_view{text}.substr(i, step));
+          BOOST_TEST_CONTEXT("byte " << byte << " at " << at << " of field " << field) {
+            BOOST_TEST((status == ParseStatus::kFailed));
+            BOOST_TEST(parsed.heads.empty());
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against crashes and endless loops on malformed input.
 BOOST_AUTO_TEST_CASE(RandomBytesNeitherCrashNorHang) {
   std::mt19937 random(20261204);
