Tell a reset from an orderly end while a request is being written

Cause: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part as a complete answer, on plain routes and on streams; `serve` took it for complete as well. The system reports the error of a connection once. The event library retries an unfinished write before the next read and so took the error; the read then found an end without an error, which completes a body without a length. Shown with two plain sockets: after a reset, the write fails with ECONNRESET and the read after it returns 0. Ruled out: a reset while nothing is being written was reported before, as was one that the read finds before the write (a part not yet read). Change: TcpStream writes by itself, polls through the library and keeps the error of a write. An end that is read after a write has failed counts as a reset, unless the write failed with EPIPE, which the system reports when the peer had closed in an orderly way before its reset. Both clients read through it, and a connection that is lost by a timeout during a write is covered too.

--- a/src/kernel/tcp-stream.cc
+++ b/src/kernel/tcp-stream.cc
@@ -97,7 +97,8 @@
   if (error != nullptr) return self->End(StreamEndReason::kReset);
   std::array<char, kReadBytes> buffer;
   const auto received = ReadAvailable(socket, buffer);
-  if (const auto* reason = std::get_if<StreamEndReason>(&received)) return self->End(*reason);
+  if (const auto* reason = std::get_if<StreamEndReason>(&received))
+    return self->End(self->IsReset() ? StreamEndReason::kReset : *reason);
   const auto bytes = std::get<std::string_view>(received);
   if (bytes.empty()) return;
   // The handler may be replaced while it runs.
@@ -107,19 +108,14 @@
     self->m_read_handler = std::move(handler);
 }
 
-void TcpStream::HandleWritten(h2o_socket_t* socket, const char* error) {
+void TcpStream::HandleWritable(h2o_socket_t* socket, const char* error) {
   if (socket->data == nullptr) return;
   const auto self = static_cast<TcpStream*>(socket->data)->shared_from_this();
-  if (error != nullptr) return self->End(StreamEndReason::kReset);
-  if (self->m_sending.capacity() > kMaxKeptWriteBytes) {
-    self->m_sending = std::string();
-  } else {
-    self->m_sending.clear();
-  }
+  if (error != nullptr || self->m_write_error != 0) return self->End(StreamEndReason::kReset);
+  self->m_is_waiting_to_write = false;
   self->Flush();
   self->CountPendingBytes();
-  if (!self->IsOpen() || self->PendingBytes() != 0) return;
-  if (self->m_is_closing_after_writes) self->Close();
+  if (self->m_is_closing_after_writes && self->PendingBytes() == 0) self->Close();
 }
 
 void TcpStream::StartReading() {
@@ -154,10 +150,35 @@
 }
 
 void TcpStream::Flush() {
-  if (m_socket == nullptr || !m_is_connected || !m_sending.empty() || m_pending.empty()) return;
-  m_sending.swap(m_pending);
-  h2o_iovec_t buffer = h2o_iovec_init(m_sending.data(), m_sending.size());
-  h2o_socket_write(m_socket, &buffer, 1, &TcpStream::HandleWritten);
+  if (m_socket == nullptr || !m_is_connected || m_is_waiting_to_write) return;
+  if (m_sending.empty()) m_sending.swap(m_pending);
+  if (m_sending.empty()) return;
+  const std::string_view unsent = std::string_view{m_sending}.substr(m_sent_bytes);
+  const ssize_t count =
+      send(Descriptor(), unsent.data(), unsent.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (count >= 0) {
+    m_sent_bytes += static_cast<std::size_t>(count);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    m_write_error = errno;
+  }
+  if (m_sent_bytes == m_sending.size()) ClearSending();
+  if (PendingBytes() == 0) return;
+  m_is_waiting_to_write = true;
+  h2o_socket_notify_write(m_socket, &TcpStream::HandleWritable);
+}
+
+void TcpStream::ClearSending() {
+  m_sent_bytes = 0;
+  if (m_sending.capacity() > kMaxKeptWriteBytes) {
+    m_sending = std::string();
+  } else {
+    m_sending.clear();
+  }
+}
+
+bool TcpStream::IsReset() const {
+  // EPIPE: the peer had closed the connection in an orderly way before.
+  return m_write_error != 0 && m_write_error != EPIPE;
 }
 
 bool TcpStream::HasUnreadInput() const {
@@ -196,6 +217,7 @@
   h2o_socket_close(socket);
   m_pending = std::string();
   m_sending = std::string();
+  m_sent_bytes = 0;
   if (m_pending_holder) m_pending_holder->Release();
 }
 
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -68,7 +68,7 @@
   /// Queues bytes. They are dropped if the stream is closed.
   void Write(std::string bytes);
   /// @return number of bytes not yet passed to the system
-  std::size_t PendingBytes() const { return m_pending.size() + m_sending.size(); }
+  std::size_t PendingBytes() const { return m_pending.size() + m_sending.size() - m_sent_bytes; }
   /// Closes the connection without calling the end handler. Queued bytes are lost.
   void Close();
   /// Closes the connection after all queued bytes have been sent, also if its owner releases it
@@ -87,11 +87,18 @@
  private:
   static void HandleConnected(st_h2o_socket_t* socket, const char* error);
   static void HandleRead(st_h2o_socket_t* socket, const char* error);
-  static void HandleWritten(st_h2o_socket_t* socket, const char* error);
+  static void HandleWritable(st_h2o_socket_t* socket, const char* error);
 
   void Attach(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive);
   void StartReading();
+  /// Passes as many bytes to the system as it takes, and waits until it takes the others. A failure
+  /// ends the stream in a later iteration of the event loop.
   void Flush();
+  void ClearSending();
+  /// The system reports the error of a connection once. After a failed write has taken it, a read
+  /// finds what looks like an orderly end.
+  /// @return true if a write has failed because the connection was reset or lost
+  bool IsReset() const;
   void CountPendingBytes();
   void End(StreamEndReason reason);
 
@@ -99,8 +106,11 @@
   bool m_is_connected = false;
   bool m_is_paused = false;
   bool m_is_closing_after_writes = false;
+  bool m_is_waiting_to_write = false;
+  int m_write_error = 0;  ///< errno of a write that failed
   std::string m_pending;
-  std::string m_sending;  ///< passed to the socket, which is writing them
+  std::string m_sending;         ///< written before the pending bytes
+  std::size_t m_sent_bytes = 0;  ///< bytes at the front of m_sending that the system has taken
   ReadHandler m_read_handler;
   EndHandler m_on_end;
   std::function<void()> m_on_connected;
--- a/test/gateway-response-test.cc
+++ b/test/gateway-response-test.cc
@@ -19,6 +19,8 @@
 constexpr Millis kStepTimeout{3'000};
 // Longer than a gateway avoids a backend server after a refusal.
 constexpr Millis kAvoidTime{700};
+// More than the buffers of a connection hold whose engine does not read.
+constexpr std::size_t kUploadBytes = 4U << 20U;
 
 struct Caller {
   std::unique_ptr<PooledCall> call;
@@ -92,7 +94,8 @@
     RunFor(Millis{500});
   }
 
-  std::unique_ptr<Caller> Send(const std::string& path, const std::string& id) {
+  std::unique_ptr<Caller> Send(const std::string& path, const std::string& id,
+                               const std::string& body = "ok") {
     auto caller = std::make_unique<Caller>();
     Caller& state = *caller;
     PooledCallHandlers handlers;
@@ -102,9 +105,11 @@
     };
     handlers.on_body = [&state](std::string_view bytes) { state.body.append(bytes); };
     handlers.on_end = [&state](PooledCallResult result) { state.result = result; };
-    const std::string head = SerializeRequest(
-        "POST", path, {{"Host", "engine.test"}, {names::kAttempt, id}, {"Content-Length", "2"}});
-    state.call = pool.StartCall(gateway, head + "ok", std::move(handlers), true);
+    const std::string head = SerializeRequest("POST", path,
+                                              {{"Host", "engine.test"},
+                                               {names::kAttempt, id},
+                                               {"Content-Length", std::to_string(body.size())}});
+    state.call = pool.StartCall(gateway, head + body, std::move(handlers), true);
     return caller;
   }
 
@@ -287,6 +292,40 @@
     CheckThatNothingIsPassedOn(start + line + "\r\n" + event + event);
 }
 
+// Guards against a part of a response that reaches the caller as all of it, because the connection
+// was reset while the request was still being written.
+BOOST_FIXTURE_TEST_CASE(ResetDuringUploadIsNotAnAnswer, Fixture) {
+  AddEngines(1);
+  engines[0]->max_received_bytes = 1;
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: @\r\nInstance-Seal: s\r\n\r\n";
+  const std::string event = "id: 1\ndata: x\n\n";
+  int number = 0;
+  for (const char* path : {"/once/x", "/chat/x"}) {
+    for (const bool is_reset : {true, false}) {
+      BOOST_TEST_CONTEXT(path << " " << is_reset) {
+        const std::string id = "upload" + std::to_string(++number);
+        const auto caller = Send(path, id, std::string(kUploadBytes, 'x'));
+        const auto connection = WaitForReceiver(id);
+        std::string response = head;
+        response.replace(response.find('@'), 1, id);
+        connection->Write(response + event);
+        // Until the gateway has read what was sent.
+        RunFor(Millis{200});
+        if (is_reset) {
+          ResetConnection(*connection);
+        } else {
+          shutdown(connection->Descriptor(), SHUT_WR);
+        }
+        BOOST_REQUIRE(RunUntil([&] { return caller->result.has_value(); }, kStartTimeout));
+        const bool is_answer =
+            caller->status == 200 && caller->result == PooledCallResult::kComplete;
+        BOOST_TEST(is_answer == !is_reset);
+        RunFor(kAvoidTime);
+      }
+    }
+  }
+}
+
 // Guards against a request that is run again, or called not run, after its answer was lost.
 BOOST_FIXTURE_TEST_CASE(LostAnswerIsNeitherRepeatedNorDenied, Fixture) {
   AddEngines(2);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -16,6 +16,8 @@
 constexpr int kMaxIterations = 2000;
 // A server has sent this much to a caller that keeps everything.
 constexpr std::size_t kMaxSentBytes = 64U << 20U;
+// More than the buffers of a connection hold whose server does not read.
+constexpr std::size_t kUnreadBodyBytes = 16U << 20U;
 
 /// A server with a replaceable handler, and a client on the same loop.
 struct Fixture {
@@ -203,6 +205,27 @@
   }
 }
 
+// Guards against a part of a response that is taken for all of it, because the connection was reset
+// while the request was still being written.
+BOOST_FIXTURE_TEST_CASE(ResetDuringRequestIsAnError, Fixture) {
+  RawServer raw(loop);
+  raw.max_received_bytes = 1;
+  std::string data;
+  std::optional<HttpCallResult> end;
+  HttpCallHandlers handlers;
+  handlers.on_data = [&](std::string_view bytes) { data.append(bytes); };
+  handlers.on_end = [&](HttpCallResult result, const std::string&) { end = result; };
+  const auto call = client.StartCall(
+      {.address = raw.address, .method = "POST", .body = std::string(kUnreadBodyBytes, 'x')},
+      std::move(handlers));
+  BOOST_REQUIRE(RunUntil([&] { return !raw.received.empty() && !raw.received[0].empty(); }));
+  raw.streams[0]->Write("HTTP/1.1 200 OK\r\n\r\nabc");
+  BOOST_REQUIRE(RunUntil([&] { return data == "abc"; }));
+  ResetConnection(*raw.streams[0]);
+  BOOST_REQUIRE(RunUntil([&] { return end.has_value(); }));
+  BOOST_TEST((*end == HttpCallResult::kConnectionBroken));
+}
+
 // Guards against interim responses that are taken for the answer.
 BOOST_FIXTURE_TEST_CASE(InterimResponseIsSkipped, Fixture) {
   RawServer raw(loop);
--- a/test/http1-pool-test.cc
+++ b/test/http1-pool-test.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kMaxIterations = 2'000;
+// More than the buffers of a connection hold whose server does not read.
+constexpr std::size_t kUnreadBodyBytes = 16U << 20U;
 
 struct CallRecord {
   int status = 0;
@@ -26,7 +28,7 @@
   std::vector<std::unique_ptr<PooledCall>> calls;
 
   /// Starts a call that accepts only responses with the given id.
-  void Start(CallRecord& result, const std::string& id) {
+  void Start(CallRecord& result, const std::string& id, std::size_t body_bytes = 0) {
     PooledCallHandlers handlers;
     handlers.on_sent = [&result] { result.was_sent = true; };
     handlers.on_head = [&result, id](const HttpHead& head) {
@@ -37,8 +39,11 @@
     };
     handlers.on_body = [&result](std::string_view bytes) { result.body.append(bytes); };
     handlers.on_end = [&result](PooledCallResult end) { result.end = end; };
-    calls.push_back(pool.StartCall(server.address, "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n",
-                                   std::move(handlers)));
+    const std::string head =
+        "POST /" + id + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) +
+        "\r\n\r\n";
+    calls.push_back(
+        pool.StartCall(server.address, head + std::string(body_bytes, 'x'), std::move(handlers)));
   }
 
   template <class Condition>
@@ -144,13 +149,56 @@
       RunUntil([&] { return server.received.size() == 2 && !server.received[1].empty(); }));
   server.streams[1]->Write("HTTP/1.1 200 OK\r\nid: b\r\n\r\nabc");
   BOOST_REQUIRE(RunUntil([&] { return reset.body == "abc"; }));
-  const linger abort{1, 0};
-  setsockopt(server.streams[1]->Descriptor(), SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
-  server.streams[1]->Close();
+  ResetConnection(*server.streams[1]);
   BOOST_REQUIRE(RunUntil([&] { return reset.end.has_value(); }));
   BOOST_TEST((*reset.end == PooledCallResult::kConnectionBroken));
 }
 
+// Guards against taking a part of a response for all of it when the server resets the connection
+// while the request is still being written: the write takes the error of the connection, after
+// which the system reports an orderly end.
+BOOST_FIXTURE_TEST_CASE(ResetDuringRequestDoesNotEndAResponse, Fixture) {
+  server.max_received_bytes = 1;
+  for (const bool is_part_read : {false, true}) {
+    for (const std::size_t part_bytes : {3U, 200U << 10U}) {
+      BOOST_TEST_CONTEXT(is_part_read << " " << part_bytes) {
+        CallRecord record;
+        Start(record, "a", kUnreadBodyBytes);
+        const std::size_t index = server.streams.size();
+        BOOST_REQUIRE(RunUntil(
+            [&] { return server.received.size() > index && !server.received[index].empty(); }));
+        server.streams[index]->Write("HTTP/1.1 200 OK\r\nid: a\r\n\r\n" +
+                                     std::string(part_bytes, 'y'));
+        if (is_part_read) BOOST_REQUIRE(RunUntil([&] { return record.body.size() == part_bytes; }));
+        ResetConnection(*server.streams[index]);
+        BOOST_REQUIRE(RunUntil([&] { return record.end.has_value(); }));
+        BOOST_TEST((*record.end == PooledCallResult::kConnectionBroken));
+      }
+    }
+  }
+}
+
+// Guards against losing a response that has ended in an orderly way before the request was written,
+// also if the server then resets the connection.
+BOOST_FIXTURE_TEST_CASE(ResponseMayEndBeforeItsRequest, Fixture) {
+  server.max_received_bytes = 1;
+  for (const bool is_reset : {false, true}) {
+    BOOST_TEST_CONTEXT(is_reset) {
+      CallRecord record;
+      Start(record, "a", kUnreadBodyBytes);
+      const std::size_t index = server.streams.size();
+      BOOST_REQUIRE(RunUntil(
+          [&] { return server.received.size() > index && !server.received[index].empty(); }));
+      server.streams[index]->Write("HTTP/1.1 200 OK\r\nid: a\r\n\r\nabc");
+      BOOST_REQUIRE(RunUntil([&] { return record.body == "abc"; }));
+      shutdown(server.streams[index]->Descriptor(), SHUT_WR);
+      if (is_reset) ResetConnection(*server.streams[index]);
+      BOOST_REQUIRE(RunUntil([&] { return record.end.has_value(); }));
+      BOOST_TEST((*record.end == PooledCallResult::kComplete));
+    }
+  }
+}
+
 // Guards against treating a refused connection as a request that may have run.
 BOOST_FIXTURE_TEST_CASE(NothingIsSentOnRefusedConnection, Fixture) {
   CallRecord result;
--- a/test/raw-server.h
+++ b/test/raw-server.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <sys/socket.h>
+
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -11,6 +14,13 @@
 
 namespace bluebellpass {
 
+/// Closes a connection with a reset.
+inline void ResetConnection(TcpStream& stream) {
+  const linger abort{1, 0};
+  setsockopt(stream.Descriptor(), SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  stream.Close();
+}
+
 /// A TCP server that records the bytes received on each connection. Tests write the responses to
 /// the streams.
 class RawServer {
@@ -29,6 +39,8 @@
   Address address;
   std::vector<std::shared_ptr<TcpStream>> streams;
   std::vector<std::string> received;
+  /// The server stops reading a connection after this many bytes.
+  std::size_t max_received_bytes = std::numeric_limits<std::size_t>::max();
 
  private:
   static void OnAccept(h2o_socket_t* listener, const char* error) {
@@ -39,8 +51,11 @@
     const std::size_t index = self->streams.size();
     self->received.emplace_back();
     self->streams.push_back(TcpStream::Accept(socket, TcpKeepAlive{}));
-    self->streams.back()->Read(
-        [self, index](std::string_view bytes) { self->received[index].append(bytes); });
+    self->streams.back()->Read([self, index](std::string_view bytes) {
+      self->received[index].append(bytes);
+      if (self->received[index].size() >= self->max_received_bytes)
+        self->streams[index]->SetPaused(true);
+    });
   }
 
   h2o_socket_t* m_listener = nullptr;
