--- a/src/kernel/http1.h
+++ b/src/kernel/http1.h
@@ -29,7 +29,7 @@
 struct HttpHead {
   std::string method;  ///< requests only
   std::string target;  ///< requests only; includes the query
-  int status = 0;      ///< responses only
+  int status = 0;      ///< responses only; 100 to 599
   int version = 11;    ///< 10 or 11
   std::vector<HttpField> fields;
   std::optional<std::uint64_t> content_length;  ///< stated length of the body, if any
--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -92,7 +92,8 @@
   void Attach(st_h2o_socket_t* socket, const TcpKeepAlive& keep_alive);
   void StartReading();
   /// Passes as many bytes to the system as it takes, and waits until it takes the others. A failure
-  /// ends the stream in a later iteration of the event loop.
+  /// ends the stream in a later iteration of the event loop. Writes of the library do not tell
+  /// which error they have met.
   void Flush();
   void ClearSending();
   /// The system reports the error of a connection once. After a failed write has taken it, a read
@@ -107,7 +108,7 @@
   bool m_is_paused = false;
   bool m_is_closing_after_writes = false;
   bool m_is_waiting_to_write = false;
-  int m_write_error = 0;  ///< errno of a write that failed
+  int m_write_error = 0;  ///< errno of a write that failed, or 0
   std::string m_pending;
   std::string m_sending;         ///< written before the pending bytes
   std::size_t m_sent_bytes = 0;  ///< bytes at the front of m_sending that the system has taken
