--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -92,6 +92,8 @@
   kClientRejected = 622,
   kStateReceived = 624,
   kMessageOversized = 625,
+  kStoreRestored = 626,
+  kChangeIgnored = 627,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/include/bluebellpass/gateway/store-client.h
+++ b/include/bluebellpass/gateway/store-client.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "bluebellpass/error.h"
@@ -15,9 +16,30 @@
 /// Revision of the whole store; increases with each change of any object.
 using Revision = StrongNumber<struct RevisionTag, std::uint64_t>;
 
+/// How often the store has come back from an older copy of itself, which raises it by one; 0 if
+/// unknown.
+using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
+
 /// Kinds of objects that the gateway reads or writes.
 enum class ObjectKind : std::uint8_t { kConfig, kBackends, kInstances, kFleet, kRollouts };
 
+/// @return the kind's stable name in logs
+constexpr std::string_view NameOf(ObjectKind kind) {
+  switch (kind) {
+    case ObjectKind::kConfig:
+      return "config";
+    case ObjectKind::kBackends:
+      return "backends";
+    case ObjectKind::kInstances:
+      return "instances";
+    case ObjectKind::kFleet:
+      return "fleet";
+    case ObjectKind::kRollouts:
+      return "rollouts";
+  }
+  return "";
+}
+
 /// An object, or the notice of its deletion.
 struct StoredObject {
   std::string name;
--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -42,11 +42,6 @@
   return watch.HasUnseenChange() ? Revision{} : watch.SeenRevision();
 }
 
-std::string_view KindName(ObjectKind kind) {
-  if (kind == ObjectKind::kConfig) return "config";
-  return kind == ObjectKind::kBackends ? "backends" : "rollouts";
-}
-
 }  // namespace
 
 ObjectRelay::ObjectRelay(const BootClock& clock, ObjectWatch& config, ObjectWatch& backends,
@@ -296,7 +291,7 @@
   channel.watch->ApplyTransfer(objects, revision);
   // The age is counted from the sending of the request, as that of a confirmation.
   channel.watch->Confirm(revision, transfer.requested_at + Millis(-content.age.count()));
-  LogEvent(EventId::kStateReceived, {{"kind", std::string(KindName(channel.kind))},
+  LogEvent(EventId::kStateReceived, {{"kind", std::string(NameOf(channel.kind))},
                                      {"revision", static_cast<std::int64_t>(content.revision)},
                                      {"objects", static_cast<std::int64_t>(objects.size())},
                                      {"age_ms", content.age.count()}});
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -327,7 +327,15 @@
     return;
   }
   const ConfigVersion version = std::get<Config>(config).version;
-  if (!m_routing_state.SetConfig(std::get<Config>(std::move(config)))) return;
+  if (!m_routing_state.SetConfig(std::get<Config>(std::move(config)))) {
+    LogEvent(EventId::kChangeIgnored,
+             {{"kind", std::string(NameOf(ObjectKind::kConfig))},
+              {"object", object.name},
+              {"version", static_cast<std::int64_t>(version.Value())},
+              {"known", static_cast<std::int64_t>(m_routing_state.Table()->Version().Value())},
+              {"reason", "version"}});
+    return;
+  }
   m_caller_server.SetLimits(
       MakeHttpLimits(m_settings, m_routing_state.Table()->SourceConfig().limits));
   LogEvent(EventId::kConfigApplied,
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "bluebellpass/event.h"
+
 namespace bluebellpass::gateway {
 
 ObjectWatch::ObjectWatch(StoreClient& store, TimerService& timers, const BootClock& clock,
@@ -111,8 +113,10 @@
 void ObjectWatch::ApplyChanges(const std::vector<StoredObject>& objects, bool is_older) {
   for (const StoredObject& object : objects) {
     const auto known = m_revisions.find(object.name);
-    if (known != m_revisions.end() && object.revision <= known->second && !object.is_deleted)
+    if (known != m_revisions.end() && object.revision <= known->second && !object.is_deleted) {
+      if (object.revision < known->second) LogIgnored(object, known->second);
       continue;
+    }
     if (object.is_deleted) {
       Revision& deletion = m_deletions[object.name];
       deletion = std::max(deletion, object.revision);
@@ -128,6 +132,15 @@
   }
 }
 
+void ObjectWatch::LogIgnored(const StoredObject& object, Revision known) const {
+  LogEvent(EventId::kChangeIgnored,
+           {{"kind", std::string(NameOf(m_kind))},
+            {"object", object.name},
+            {"version", static_cast<std::int64_t>(object.revision.Value())},
+            {"known", static_cast<std::int64_t>(known.Value())},
+            {"reason", "revision"}});
+}
+
 void ObjectWatch::OnSuccess() {
   m_backoff = Millis{0};
   if (!m_is_reachable && m_events.on_reachability) m_events.on_reachability(true, "");
--- a/src/gateway/state/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -88,6 +88,7 @@
   void OnWatchResponse(BootTime sent_at, Millis wait, Result<ObjectPage> result);
   /// @param is_older the view is complete up to a later revision than that of the objects' read
   void ApplyChanges(const std::vector<StoredObject>& objects, bool is_older);
+  void LogIgnored(const StoredObject& object, Revision known) const;
   /// @return true when an object that is not in the view was deleted after the given revision of it
   bool IsDeletedSince(const StoredObject& object, bool is_older) const;
   void SetRevision(Revision revision);
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -115,6 +115,10 @@
               "changes that the store did not give this instance came from the coordinator"},
     EventInfo{kMessageOversized, "message_oversized", kWarning,
               "a message to another instance exceeds the bound of a frame and cannot be split"},
+    EventInfo{kStoreRestored, "store_restored", kWarning,
+              "the platform's store has come back from an older copy of itself"},
+    EventInfo{kChangeIgnored, "change_ignored", kWarning,
+              "an object that was read has an older version than is known"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
