--- a/test/soak/store-standin.cc
+++ b/test/soak/store-standin.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 #include "platform/names.h"
 
@@ -62,6 +63,11 @@
   objects.erase(found);
 }
 
+bool StoreStandin::Contains(const std::string& kind, const std::string& name) const {
+  const auto objects = m_objects.find(kind);
+  return objects != m_objects.end() && objects->second.contains(name);
+}
+
 json StoreStandin::StatusOf(const std::string& kind, const std::string& name) const {
   const auto objects = m_objects.find(kind);
   if (objects == m_objects.end()) return nullptr;
@@ -86,6 +92,16 @@
   m_history.clear();
 }
 
+void StoreStandin::Restore() {
+  m_revision = m_copy.revision;
+  m_oldest_revision = m_copy.oldest_revision;
+  m_objects = m_copy.objects;
+  m_history = m_copy.history;
+  ++m_era;
+  for (const Watch& watch : std::exchange(m_watches, {})) watch.exchange->Abort();
+  for (const auto& exchange : std::exchange(m_unanswered_exchanges, {})) exchange->Abort();
+}
+
 void StoreStandin::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   ++m_call_count;
   switch (m_fault) {
@@ -115,7 +131,8 @@
   if (head.method != "GET") return HandleWrite(exchange, kind, name);
   if (head.target.find("watch=") != std::string::npos) {
     const std::uint64_t after = QueryNumber(head.target, "watch");
-    if (after < m_oldest_revision) return Respond(exchange, 410, json::object());
+    if (after < m_oldest_revision || after > m_revision)
+      return Respond(exchange, 410, json::object());
     m_watches.push_back(
         {kind, after, m_loop.Now() + Millis(QueryNumber(head.target, "wait_ms")), exchange});
     return;
@@ -196,7 +213,10 @@
 
 void StoreStandin::Respond(const std::shared_ptr<HttpExchange>& exchange, int status,
                            const json& body) {
-  exchange->Send(status, {{"Content-Type", "application/json"}}, body.dump());
+  exchange->Send(
+      status,
+      {{"Content-Type", "application/json"}, {platform::names::kStoreEra, std::to_string(m_era)}},
+      body.dump());
 }
 
 }  // namespace bluebellpass::test
--- a/test/soak/store-standin.h
+++ b/test/soak/store-standin.h
@@ -35,10 +35,16 @@
   void LoseListResponses(const std::string& kind, int count) { m_lost_lists[kind] = count; }
   /// Deletes the change history. Watches from older revisions get 410.
   void Compact();
+  /// Remembers all objects for Restore.
+  void MakeCopy() { m_copy = {m_revision, m_oldest_revision, m_objects, m_history}; }
+  /// Comes back from the copy: what was written since is lost, revisions are given out again, and
+  /// the era rises by one. Pending watches are cut.
+  void Restore();
 
   /// Writes an object as the operator or an engine does, bypassing faults.
   void Put(const std::string& kind, const std::string& name, nlohmann::json spec);
   void Delete(const std::string& kind, const std::string& name);
+  bool Contains(const std::string& kind, const std::string& name) const;
   /// @return the status of an object; null without one
   nlohmann::json StatusOf(const std::string& kind, const std::string& name) const;
   std::uint64_t CallCount() const { return m_call_count; }
@@ -55,6 +61,12 @@
     std::string kind;
     nlohmann::json event;
   };
+  struct Copy {
+    std::uint64_t revision = 0;
+    std::uint64_t oldest_revision = 0;
+    std::map<std::string, std::map<std::string, Object>> objects;
+    std::vector<Change> history;
+  };
   struct Watch {
     std::string kind;
     std::uint64_t after = 0;
@@ -85,7 +97,9 @@
   std::map<std::string, int> m_lost_lists;
   std::uint64_t m_revision = 1;
   std::uint64_t m_oldest_revision = 1;
+  std::uint64_t m_era = 1;
   std::uint64_t m_call_count = 0;
+  Copy m_copy;
   std::map<std::string, std::map<std::string, Object>> m_objects;
   std::vector<Change> m_history;
   std::vector<Watch> m_watches;
