Follow the store when it comes back from an older copy

Callers saw: routes that are not served, requests that run as an older configuration says (CONFIG), and requests that reach leaving servers (DRAIN), at all instances, until the store's revision has passed the one before. Cause: a restored store gives revisions out again. Views, relays, patches and registrations compared bare revisions, so they dropped what was newer; a watch from a revision that was given out again missed what came before it; registrations that the copy lacks were never renewed. Change: a Revision has the era that the store states in its upper bits, so each comparison in a view, the relay, the history and a registration is right without a case of its own. A watch whose answer is of another era lists again; conditional writes with a revision of an earlier era are conflicts; answers of earlier eras are dropped. A follower reads the store itself when its coordinator confirms a later era. Registrations and link keys are written again. What the copy says of servers is compared with their last reports, so a leaving one does not become ready. Builds without eras get no objects of a later era.

--- a/include/bluebellpass/gateway/model.h
+++ b/include/bluebellpass/gateway/model.h
@@ -111,6 +111,7 @@
   Address address;
   DataCentre data_centre;
   SoftwareVersion version;
+  std::uint64_t report_number = 0;  ///< counts the server's reports since its start; 0 if unknown
   /// Revision of the store at the last change of the entry; 0 if unknown.
   std::uint64_t revision = 0;
   int slots = 0;
--- a/include/bluebellpass/gateway/store-client.h
+++ b/include/bluebellpass/gateway/store-client.h
@@ -13,12 +13,27 @@
 
 namespace bluebellpass::gateway {
 
-/// Revision of the whole store; increases with each change of any object.
+/// Rises when the store comes back from an older copy of itself; 0 if the store does not state it.
+using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
+
+/// Revision of the whole store; increases with each change of any object. A store that has come
+/// back from a copy gives its numbers out again, so a revision has the era in its upper bits: each
+/// of a later era is larger.
 using Revision = StrongNumber<struct RevisionTag, std::uint64_t>;
 
-/// How often the store has come back from an older copy of itself, which raises it by one; 0 if
-/// unknown.
-using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
+/// Bits of a revision for the number that the store states.
+inline constexpr unsigned kRevisionNumberBits = 44;
+
+constexpr Revision MakeRevision(StoreEra era, std::uint64_t number) {
+  return Revision((era.Value() << kRevisionNumberBits) | number);
+}
+constexpr StoreEra EraOf(Revision revision) {
+  return StoreEra(revision.Value() >> kRevisionNumberBits);
+}
+/// @return the number that the store states
+constexpr std::uint64_t NumberOf(Revision revision) {
+  return revision.Value() & ((std::uint64_t{1} << kRevisionNumberBits) - 1);
+}
 
 /// Kinds of objects that the gateway reads or writes.
 enum class ObjectKind : std::uint8_t { kConfig, kBackends, kInstances, kFleet, kRollouts };
@@ -66,13 +81,18 @@
 /// Client of the platform's store. Callbacks run in later iterations of the event loop.
 ///
 /// Errors: kNotFound (no such object; for a watch: the history since the revision is no longer
-/// kept), kConflict (the object exists, or its revision differs from the expected one),
-/// kStoreUnavailable (nothing was done), kStoreUncertain (the response was lost; a write may have
-/// taken effect, or may take effect later).
+/// kept, or is that of an earlier era), kConflict (the object exists, or its revision differs from
+/// the expected one), kStoreUnavailable (nothing was done), kStoreUncertain (the response was lost;
+/// a write may have taken effect, or may take effect later).
+///
+/// What the store has acknowledged in an earlier era may be lost. Responses of earlier eras count
+/// as lost too once a later one is known.
 class StoreClient {
  public:
   virtual ~StoreClient() = default;
 
+  /// Sets what is called when the store turns out to have come back from a copy.
+  virtual void OnRestored(std::function<void()> callback) = 0;
   /// Lists the objects of a kind.
   /// @param after name after which the page starts; empty for the first page
   virtual void List(ObjectKind kind, const std::string& after, ReadConsistency consistency,
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -35,10 +35,11 @@
 int ProcessorClass(double processor_share);
 
 /// @return the sort key of the election; the smallest one coordinates. Larger instances come first,
-/// since the coordinator's work grows with the fleet.
+/// since the coordinator's work grows with the fleet. The era of a registration does not count,
+/// since the instances learn of a later one at different times.
 inline auto ElectionKey(const FleetMember& member) {
   return std::tuple(member.has_lost_store, -ProcessorClass(member.processor_share),
-                    member.registration_revision, member.id);
+                    NumberOf(Revision(member.registration_revision)), member.id);
 }
 
 // Instance to coordinator.
@@ -99,7 +100,10 @@
 using FeatureSet = std::uint32_t;
 inline constexpr FeatureSet kFeatureRollouts = 1U << 0U;
 inline constexpr FeatureSet kFeatureStateTransfer = 1U << 1U;
-inline constexpr FeatureSet kOwnFeatures = kFeatureRollouts | kFeatureStateTransfer;
+/// Not a message: revisions with eras.
+inline constexpr FeatureSet kFeatureStoreEras = 1U << 2U;
+inline constexpr FeatureSet kOwnFeatures =
+    kFeatureRollouts | kFeatureStateTransfer | kFeatureStoreEras;
 
 /// Instance to coordinator, as a heartbeat: asks how current the coordinator's objects are.
 struct ProbeMessage {
--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -47,6 +47,12 @@
   ElectCoordinator();
 }
 
+void Fleet::SetKeys(std::vector<std::string> keys) {
+  for (const std::string& former : m_link_context.keys)
+    if (std::find(keys.begin(), keys.end(), former) == keys.end()) keys.push_back(former);
+  m_link_context.keys = std::move(keys);
+}
+
 void Fleet::AddMember(FleetMember member) {
   MergeMembers(MembersMessage{{std::move(member)}}, false);
   if (m_is_started) ElectCoordinator();
@@ -100,10 +106,16 @@
 }
 
 void Fleet::MergeMembers(const MembersMessage& message, bool is_from_coordinator) {
-  for (const FleetMember& member : message.members) {
+  for (FleetMember member : message.members) {
     if (member.id == m_options.id) continue;
     const auto old = m_members.find(member.id);
     const bool is_new = old == m_members.end();
+    // An older build states no era.
+    const Revision stated(member.registration_revision);
+    if (!is_new && EraOf(stated) == StoreEra{})
+      member.registration_revision =
+          MakeRevision(EraOf(Revision(old->second.registration_revision)), NumberOf(stated))
+              .Value();
     if (!is_new && member.registration_revision < old->second.registration_revision) continue;
     if (member.is_removed) {
       if (is_from_coordinator) m_members.erase(member.id);
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -367,9 +367,12 @@
 void Fleet::AnnounceObject(ObjectKind kind, const StoredObject& object) {
   if (m_followers.empty()) return;
   const ObjectMessage message = m_relay->MakeAnnouncement(kind, object, m_followers.size());
-  const bool is_rollout = kind == ObjectKind::kRollouts;
+  FeatureSet required = 0;
+  if (kind == ObjectKind::kRollouts) required |= kFeatureRollouts;
+  // Older builds would take all that they read themselves for older than this object.
+  if (EraOf(object.revision) != StoreEra{}) required |= kFeatureStoreEras;
   for (auto& [id, peer] : m_followers)
-    if (!is_rollout || (peer.features & kFeatureRollouts) != 0) Enqueue(peer, message);
+    if ((peer.features & required) == required) Enqueue(peer, message);
 }
 
 void Fleet::OnCoordinatorMessage(FleetMessage message) {
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -67,6 +67,8 @@
   /// @param keys shared secrets of the instances; the first signs, all are accepted
   Result<Ok> Start(std::vector<std::string> keys);
   bool IsStarted() const { return m_is_started; }
+  /// Replaces the keys of later links. Instances with the former ones are still accepted.
+  void SetKeys(std::vector<std::string> keys);
   /// Sets the store revision of this instance's registration.
   void SetRegistration(std::uint64_t revision);
   /// Adds an instance that is registered in the store.
--- a/src/gateway/fleet/object-history.cc
+++ b/src/gateway/fleet/object-history.cc
@@ -90,8 +90,10 @@
       content.objects.push_back(
           MakeMessage(request, object, is_held ? std::optional(found->second) : std::nullopt));
   }
-  const bool knows_deletions =
-      m_deletions_since != Revision{} && request.revision >= m_deletions_since.Value();
+  // The restored store has lost objects without deleting them.
+  const bool is_earlier_era = EraOf(Revision(request.revision)) != EraOf(seen);
+  const bool knows_deletions = !is_earlier_era && m_deletions_since != Revision{} &&
+                               request.revision >= m_deletions_since.Value();
   if (request.is_whole || (!request.holds_all && !knows_deletions)) {
     content.has_names = true;
     for (const auto& [name, object] : m_objects) content.names.push_back(name);
--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -176,7 +176,11 @@
   // yet and does not announce the objects of that list, or has a change whose revision it has not
   // seen.
   if (!m_has_remote_coordinator || revision == Revision{}) return;
-  if (!channel.required_revision) channel.required_revision = revision;
+  const StoreEra own_era = EraOf(channel.watch->SeenRevision());
+  // The coordinator does not know yet that the store has come back from a copy.
+  if (EraOf(revision) < own_era) return;
+  // What the copy lacks is not announced to an instance that has read more than the coordinator.
+  if (!channel.required_revision || EraOf(revision) > own_era) channel.required_revision = revision;
   if (IsCaughtUp(channel)) channel.watch->Confirm(revision, at);
 }
 
@@ -227,6 +231,7 @@
 void ObjectRelay::OnObject(const ObjectMessage& message) {
   Channel* channel = FindChannel(message.kind);
   if (channel == nullptr || !m_has_remote_coordinator) return;
+  if (EraOf(Revision(message.revision)) < EraOf(channel->watch->SeenRevision())) return;
   if (const auto object = DecodeObject(*channel, message))
     return channel->watch->ApplyRelayed(*object);
   // The change itself is missing, so this instance reads the store, and asks the coordinator, until
--- a/src/gateway/gateway-membership.cc
+++ b/src/gateway/gateway-membership.cc
@@ -42,6 +42,7 @@
             if (key.is_string()) keys.push_back(key.get<std::string>());
           if (keys.empty()) continue;
           m_link_keys = std::move(keys);
+          if (m_fleet.IsStarted()) m_fleet.SetKeys(m_link_keys);
           return JoinFleetIfReady();
         }
         // A stale read may miss the keys, but otherwise suffices, because they never change.
@@ -49,12 +50,23 @@
           return ReadLinkKeys(ReadConsistency::kCurrent);
         // The first instance to create the object sets the key for all. The object is read again in
         // any case, which resolves conflicts and lost responses.
+        const std::vector<std::string> keys =
+            m_link_keys.empty() ? std::vector{MakeLinkKey()} : m_link_keys;
         m_store_client->Create(
-            ObjectKind::kFleet, kLinkKeysObject, {{"keys", {MakeLinkKey()}}},
+            ObjectKind::kFleet, kLinkKeysObject, {{"keys", keys}},
             [this](const Result<Revision>&) { ReadLinkKeys(ReadConsistency::kCurrent); });
       });
 }
 
+void Gateway::OnStoreRestored() {
+  for (ObjectWatch* watch : {m_config_watch.get(), m_backend_watch.get(), m_rollout_watch.get()})
+    if (watch != nullptr) watch->Relist();
+  ReadLinkKeys(ReadConsistency::kCurrent);
+  if (m_is_stopping) return;
+  m_is_registered = false;
+  Register();
+}
+
 void Gateway::ListInstances(const std::string& after, bool was_registered) {
   m_store_client->List(ObjectKind::kInstances, after, ReadConsistency::kCurrent,
                        [this, was_registered](Result<ObjectPage> result) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -285,6 +285,7 @@
                                           m_rollout_watch.get());
   m_fleet.SetRelay(m_relay.get());
   ApplySettings();
+  m_store_client->OnRestored([this] { OnStoreRestored(); });
   m_config_watch->Start();
   // Before the backend servers, whose versions an order may name.
   if (m_rollout_watch) m_rollout_watch->Start();
@@ -375,6 +376,13 @@
     if (IsOk(backend)) {
       Backend& changed = std::get<Backend>(backend);
       changed.revision = object.revision.Value();
+      if (m_backend_reports.IsOutdated(changed, object.revision))
+        return LogEvent(EventId::kChangeIgnored,
+                        {{"kind", std::string(NameOf(ObjectKind::kBackends))},
+                         {"object", object.name},
+                         {"version", static_cast<std::int64_t>(changed.report_number)},
+                         {"reason", "report"}});
+      m_backend_reports.Record(changed, object.revision);
       // The initial list of a large fleet would flood the log.
       if (m_has_listed_backends)
         LogEvent(EventId::kBackendChanged,
@@ -389,6 +397,7 @@
     LogEvent(EventId::kObjectRejected,
              {{"object", object.name}, {"reason", ErrorOf(backend).message}});
   }
+  m_backend_reports.RecordRemoval(id, object.revision);
   if (const Backend* known = m_routing_state.FindBackend(id)) m_pool.CloseIdle(known->address);
   LogEvent(EventId::kBackendChanged,
            {{"backend", object.name},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/fleet/fleet.h"
 #include "gateway/fleet/relay.h"
 #include "gateway/rollout/rollout-task.h"
+#include "gateway/state/backend-reports.h"
 #include "gateway/state/boot-clock.h"
 #include "gateway/state/object-watch.h"
 #include "gateway/state/routing-state.h"
@@ -54,6 +55,8 @@
   void StartWatches();
   void StartRolloutWatch();
   void OnStoreReachable();
+  /// Reads and registers anew what a store that has come back from a copy may have lost.
+  void OnStoreRestored();
   void OnConfigObject(const StoredObject& object);
   void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
@@ -111,6 +114,7 @@
   HttpConnectionPool m_pool;
   RetryBudgets m_retry_budgets;
   BackendNotices m_backend_notices;
+  BackendReports m_backend_reports;
   CallerDeadlines m_caller_deadlines;
   Http1Server m_caller_server;
   Http1Server m_ready_server;
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -41,6 +41,7 @@
   OnSuccess();
   // The watch starts at the revision of the first page, to see changes made during the list.
   if (m_list_revision == Revision{}) m_list_revision = page.revision;
+  if (EraOf(page.revision) != EraOf(m_list_revision)) return ListFrom("");
   for (const StoredObject& object : page.objects) m_listed_names.insert(object.name);
   // Another instance may have brought the view beyond the list during its calls.
   const bool is_older = m_revision != m_revision_before_list && m_list_revision < m_revision;
@@ -161,6 +162,15 @@
   if (m_events.on_confirmed) m_events.on_confirmed(at);
 }
 
+void ObjectWatch::Relist() {
+  if (!m_is_idle && !m_is_backing_off) return;
+  m_needs_list = true;
+  m_list_after.clear();
+  m_is_idle = false;
+  m_backoff = Millis{0};
+  ScheduleNextCall(Millis{0});
+}
+
 void ObjectWatch::SetSuspended(bool is_suspended) {
   if (m_is_suspended == is_suspended) return;
   m_is_suspended = is_suspended;
--- a/src/gateway/state/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -50,6 +50,9 @@
   void Start() { ListFrom(""); }
   /// Ends the backoff after a failure, because the store is known to answer again.
   void RetryNow();
+  /// Lists all objects again, because the store has come back from a copy. A call in progress shows
+  /// the same by its response.
+  void Relist();
   /// Suspends or resumes calls to the store. While suspended, changes come from ApplyRelayed and
   /// confirmations from Confirm.
   void SetSuspended(bool is_suspended);
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -31,6 +31,7 @@
     Millis wait{0};
     std::function<void(Result<ObjectPage>)> done;
   };
+  void OnRestored(std::function<void()>) override {}
   void List(ObjectKind, const std::string& after, ReadConsistency,
             std::function<void(Result<ObjectPage>)> done) override {
     calls.push_back({false, after, {}, Millis{0}, std::move(done)});
--- a/test/gateway-knowledge-test.cc
+++ b/test/gateway-knowledge-test.cc
@@ -3,6 +3,7 @@
 
 #include "fakes.h"
 #include "gateway-fakes.h"
+#include "gateway/state/backend-reports.h"
 #include "gateway/state/object-watch.h"
 #include "gateway/state/routing-state.h"
 
@@ -98,6 +99,57 @@
   BOOST_TEST(view["b"] == 9U);
 }
 
+// Guards against objects that stay as they were because a restored store gives revisions out again.
+BOOST_FIXTURE_TEST_CASE(RestoredStoreReplacesTheView, WatchFixture) {
+  const auto later = [](std::uint64_t number) { return MakeRevision(StoreEra(2), number); };
+  watch.Start();
+  store.AnswerLastCall(ObjectPage{{MakeObject("a", 9), MakeObject("b", 4)}, false, Revision(9)});
+  timers.AdvanceToNextTimer();
+  store.AnswerLastCall(Error{ErrorKind::kNotFound, "the store has been restored", ""});
+  BOOST_REQUIRE(!store.calls.back().is_watch);
+  StoredObject changed = MakeObject("a", 0);
+  changed.revision = later(5);
+  store.AnswerLastCall(ObjectPage{{changed}, false, later(6)});
+  BOOST_TEST(view.size() == 1U);
+  BOOST_TEST(view["a"] == later(5).Value());
+  timers.AdvanceToNextTimer();
+  BOOST_TEST((store.calls.back().revision == later(6)));
+}
+
+// Guards against a view that joins pages from before and after the store was restored.
+BOOST_FIXTURE_TEST_CASE(RestoreBetweenPagesStartsTheListAnew, WatchFixture) {
+  watch.Start();
+  store.AnswerLastCall(ObjectPage{{MakeObject("a", 9)}, true, Revision(9)});
+  store.AnswerLastCall(ObjectPage{{}, false, MakeRevision(StoreEra(2), 6)});
+  BOOST_TEST(!store.calls.back().is_watch);
+  BOOST_TEST(store.calls.back().after.empty());
+  store.AnswerLastCall(ObjectPage{{}, false, MakeRevision(StoreEra(2), 6)});
+  BOOST_TEST(view.empty());
+}
+
+// Guards against a server that is taken for ready, or for present, because an older copy says so.
+BOOST_AUTO_TEST_CASE(ReportsOfACopyAreOutdated) {
+  Backend backend;
+  backend.id = BackendId("e");
+  backend.started_at = 1'000;
+  const auto report = [&](std::uint64_t number) {
+    backend.report_number = number;
+    return backend;
+  };
+  const Revision before(9);
+  const Revision after = MakeRevision(StoreEra(2), 5);
+  BackendReports reports;
+  reports.Record(report(4), before);
+  BOOST_TEST(!reports.IsOutdated(report(3), Revision(10)));
+  BOOST_TEST(reports.IsOutdated(report(3), after));
+  BOOST_TEST(!reports.IsOutdated(report(4), after));
+  reports.RecordRemoval(backend.id, Revision(11));
+  BOOST_TEST(reports.IsOutdated(report(4), after));
+  BOOST_TEST(!reports.IsOutdated(report(5), after));
+  backend.started_at = 2'000;
+  BOOST_TEST(!reports.IsOutdated(report(1), after));
+}
+
 // Guards against missing changes that are made while a list of several pages is read.
 BOOST_FIXTURE_TEST_CASE(WatchStartsAtRevisionOfFirstPage, WatchFixture) {
   watch.Start();
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -132,6 +132,33 @@
   BOOST_TEST(follower.config.IsSuspended());
 }
 
+// Guards against a follower that keeps what a restored store has lost: only its own list shows
+// that.
+BOOST_FIXTURE_TEST_CASE(LaterEraIsReadFromTheStore, Fixture) {
+  const Revision restored = MakeRevision(StoreEra(2), 8);
+  coordinator.relay.OnCoordinatorChanged(false);
+  follower.relay.OnCoordinatorChanged(true);
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(follower.config.IsSuspended());
+  coordinator.config.Confirm(restored, clock.Now());
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(!follower.config.IsSuspended());
+  BOOST_TEST((follower.config.SeenRevision() == Revision(10)));
+  follower.config_timers.AdvanceToNextTimer();
+  follower.AnswerConfig(ObjectPage{{}, false, restored});
+  ProbeCoordinator(Millis{1}, Millis{1});
+  BOOST_TEST(follower.config.IsSuspended());
+}
+
+// Guards against a change of a lost time that is applied after the store was restored.
+BOOST_FIXTURE_TEST_CASE(ObjectOfAnEarlierEraIsIgnored, Fixture) {
+  follower.relay.OnCoordinatorChanged(true);
+  follower.config.Confirm(MakeRevision(StoreEra(2), 8), clock.Now());
+  follower.relay.OnObject(
+      coordinator.relay.MakeAnnouncement(ObjectKind::kConfig, MakeConfig(20), 8));
+  BOOST_TEST(!follower.revisions.contains("main"));
+}
+
 // Guards against a confirmation that appears younger than it is because its frame was delayed: when
 // it arrives, the configuration may have been replaced.
 BOOST_FIXTURE_TEST_CASE(DelayedConfirmationIsNotFresh, Fixture) {
