--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -347,67 +347,6 @@
   UpdateSchedulerBackends();
 }
 
-void Gateway::UpdateSchedulerBackends() {
-  const auto& table = m_routing_state.Table();
-  if (!table) return;
-  for (const auto& [id, backend] : m_routing_state.Backends()) SetSchedulerBackend(backend);
-  m_fleet.ScheduleDecision();
-}
-
-void Gateway::SetSchedulerBackend(const Backend& backend) {
-  const auto& table = m_routing_state.Table();
-  m_coordinator.Rollouts().SetBackend(backend, m_loop.Now());
-  m_coordinator.RequestScheduler().SetBackend(
-      backend, table ? table->FindService(backend.service) : nullptr);
-}
-
-void Gateway::OnBackendBatch() {
-  if (!std::exchange(m_has_listed_backends, true))
-    LogEvent(EventId::kBackendsListed,
-             {{"count", static_cast<std::int64_t>(m_routing_state.Backends().size())},
-              {"revision", static_cast<std::int64_t>(m_backend_watch->SeenRevision().Value())}});
-  m_fleet.ScheduleDecision();
-}
-
-void Gateway::OnBackendObject(const StoredObject& object) {
-  const BackendId id(object.name);
-  if (!object.is_deleted && object.spec) {
-    Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
-    if (IsOk(backend)) {
-      Backend& changed = std::get<Backend>(backend);
-      changed.revision = object.revision.Value();
-      if (m_backend_reports.IsOutdated(changed, object.revision))
-        return LogEvent(EventId::kChangeIgnored,
-                        {{"kind", std::string(NameOf(ObjectKind::kBackends))},
-                         {"object", object.name},
-                         {"version", static_cast<std::int64_t>(changed.report_number)},
-                         {"reason", "report"}});
-      m_backend_reports.Record(changed, object.revision);
-      // The initial list of a large fleet would flood the log.
-      if (m_has_listed_backends)
-        LogEvent(EventId::kBackendChanged,
-                 {{"backend", object.name},
-                  {"address", changed.address.Text()},
-                  {"service", changed.service.Text()},
-                  {"state", changed.is_draining ? "draining" : "ready"},
-                  {"revision", static_cast<std::int64_t>(object.revision.Value())}});
-      m_routing_state.SetBackend(changed);
-      return SetSchedulerBackend(changed);
-    }
-    LogEvent(EventId::kObjectRejected,
-             {{"object", object.name}, {"reason", ErrorOf(backend).message}});
-  }
-  m_backend_reports.RecordRemoval(id, object.revision);
-  if (const Backend* known = m_routing_state.FindBackend(id)) m_pool.CloseIdle(known->address);
-  LogEvent(EventId::kBackendChanged,
-           {{"backend", object.name},
-            {"state", "gone"},
-            {"revision", static_cast<std::int64_t>(object.revision.Value())}});
-  m_routing_state.RemoveBackend(id);
-  m_coordinator.RequestScheduler().RemoveBackend(id);
-  m_coordinator.Rollouts().RemoveBackend(id, m_loop.Now());
-}
-
 void Gateway::OnRequest(std::shared_ptr<HttpExchange> exchange) {
   if (m_is_stopping && m_loop.Now() - m_stop_began_at >= kStopAcceptDuration) {
     const auto request = m_platform.protocol->DecodeRequest(exchange->Head());
