Dial a coordinator again at once when its link is reset

Cause: a follower whose link was reset passed its coordinator over for 1.5 s and followed the next candidate, so the fleet was split and each part granted a share of the slots. Ruled out: a shorter pause after each failed dial, which would dial lost machines all the time. Change: a link that lasted and was not silent is dialled again at once; when that fails the next candidate follows without waiting for the next tick.

--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -131,6 +131,12 @@
   SetCoordinator(m_options.id);
 }
 
+void Fleet::PostElection() {
+  m_loop.Post([this, alive = m_alive] {
+    if (*alive) ElectCoordinator();
+  });
+}
+
 void Fleet::StartDial(const FleetMember& member, TimePoint now) {
   Dial& dial = m_dials[member.id];
   dial.started_at = now;
@@ -280,17 +286,19 @@
     if (dial.link.get() != &link) continue;
     dial.link.reset();
     dial.retry_at = now + kDialBackoff;
+    if (!m_coordinator_id) PostElection();
   }
   if (m_coordinator_peer && m_coordinator_peer->link.get() == &link) {
     LogEvent(EventId::kLinkDown,
              {{"peer", m_coordinator_id->Text()}, {"reason", link.CloseReason()}});
-    m_dials[*m_coordinator_id].retry_at = now + kDialBackoff;
+    // If only the connection was lost, the fleet stays whole when it is dialled again at once.
+    Dial& dial = m_dials[*m_coordinator_id];
+    const bool was_silent = now - m_coordinator_peer->last_frame_at > kLinkSilenceTimeout;
+    dial.retry_at = was_silent || now < dial.started_at + kDialBackoff ? now + kDialBackoff : now;
     m_coordinator_peer.reset();
     m_coordinator_id.reset();
     m_events.on_coordinator_changed(false);
-    m_loop.Post([this, alive = m_alive] {
-      if (*alive) ElectCoordinator();
-    });
+    PostElection();
   }
   const auto follower = m_followers.find(link.Peer().id);
   if (follower == m_followers.end() || follower->second.link.get() != &link) return;
@@ -382,9 +390,7 @@
     DeliverRefusal(refuse->id, refuse->reason, refuse->retry_after);
   } else if (const auto* members = std::get_if<MembersMessage>(&message)) {
     MergeMembers(*members, true);
-    m_loop.Post([this, alive = m_alive] {
-      if (*alive) ElectCoordinator();
-    });
+    PostElection();
   } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
     m_coordinator.MergeCrashes(crashes->update, m_loop.Now());
   } else if (const auto* verdicts = std::get_if<RolloutVerdictsMessage>(&message)) {
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -135,6 +135,8 @@
   void Tick();
   void CloseSilentLinks(TimePoint now);
   void ElectCoordinator();
+  /// Elects in the next iteration of the event loop.
+  void PostElection();
   void StartDial(const FleetMember& member, TimePoint now);
   /// Makes an instance, which may be this one, the coordinator that this instance uses.
   void SetCoordinator(const InstanceId& id);
--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <limits>
+#include <set>
 
 #include "fakes.h"
 #include "gateway-fakes.h"
@@ -7,6 +8,7 @@
 #include "gateway/fleet/fleet.h"
 #include "kernel/loop.h"
 #include "raw-server.h"
+#include "standins/proxy.h"
 
 /// Which instance coordinates, as an instance decides it from what it knows of the others.
 
@@ -15,6 +17,8 @@
 
 const std::vector<std::string> kKeys{"key"};
 constexpr std::uint64_t kMemberCount = 200;
+// Longer than the pause after a failed dial, so that the link does not count as one.
+constexpr Millis kLastingLink{2'000};
 
 FleetMember MemberOf(const std::string& id, std::uint64_t revision, double processor_share = 0.25) {
   FleetMember member;
@@ -186,6 +190,36 @@
   BOOST_TEST(RunUntil([&] { return follower.CoordinatorName() == "next"; }, Millis{700}));
 }
 
+// Guards against a fleet that splits for seconds because connections between instances were reset.
+BOOST_FIXTURE_TEST_CASE(ResetLinkIsDialledAgainAtOnce, Fixture) {
+  TestInstance coordinator(loop, "c", 1);
+  TestInstance next(loop, "next", 2);
+  TestInstance follower(loop, "follower", 3);
+  standin::Proxy proxy(loop, coordinator.address);
+  const auto proxy_address = proxy.Listen({"127.0.0.1", 0});
+  BOOST_REQUIRE(IsOk(proxy_address));
+  coordinator.Start();
+  next.Know("c", 1, coordinator.address);
+  next.Start();
+  follower.Know("c", 1, std::get<Address>(proxy_address));
+  follower.Know("next", 2, next.address);
+  follower.Start();
+  const auto is_following = [&] { return follower.CoordinatorName() == "c"; };
+  BOOST_REQUIRE(RunUntil([&] { return is_following() && next.CoordinatorName() == "c"; }));
+  RunUntil([] { return false; }, kLastingLink);
+  proxy.SetMode(standin::ProxyMode::kCut);
+  proxy.SetMode(standin::ProxyMode::kPass);
+  BOOST_REQUIRE(RunUntil([&] { return !is_following(); }));
+  std::set<std::string> others;
+  BOOST_TEST(RunUntil(
+      [&] {
+        if (!is_following()) others.insert(follower.CoordinatorName());
+        return is_following();
+      },
+      Millis{1'000}));
+  BOOST_TEST(!others.contains("next"));
+}
+
 // Guards against a message to every instance for each change of each member, which fills the
 // coordinator's link for seconds when a large fleet starts.
 BOOST_FIXTURE_TEST_CASE(ChangedMembersAreAnnouncedOnceAndTogether, Fixture) {
