Log the version that a request is sent to, and where its stream goes on

Cause: the logs do not show whether a stream was joined by an instance within an answer, or when its caller took it up. Change: two fields of the event sent; the position of a continued stream is computed in one place.

--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -55,6 +55,10 @@
   return status == 408 || status == 421 || status == kTooManyRequests || status == kUnavailable;
 }
 
+std::int64_t AsLogged(std::optional<std::uint64_t> event_id) {
+  return event_id ? static_cast<std::int64_t>(*event_id) : -1;
+}
+
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -200,8 +204,7 @@
   fields.expected_backend = backend.id;
   fields.deadline = std::max(RemainingTime(), Millis{1});
   if (m_organisation != nullptr) fields.organisation = m_organisation->id;
-  if (HasResponseStarted())
-    fields.last_event_id = m_event_splitter.LastEventId().value_or(m_request.last_event_id);
+  if (HasResponseStarted()) fields.last_event_id = ContinuedAfter().value_or(0);
   const HttpHead& head = m_exchange->Head();
   std::vector<HttpField> header_fields =
       m_context.protocol.EncodeBackendRequest(head, backend.address, fields);
@@ -222,6 +225,8 @@
   m_first_event_at.reset();
   LogEvent(EventId::kSent, {{"request", m_request.id.Text()},
                             {"backend", backend.id.Text()},
+                            {"version", backend.version.Text()},
+                            {"after_event", AsLogged(ContinuedAfter())},
                             {"waited_ms", (m_sent_at - m_arrived_at) / Millis{1}},
                             {"remaining_ms", fields.deadline->count()},
                             {"config_age_ms", m_context.routing_state.ConfigAge().count()}});
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -78,6 +78,8 @@
   bool Authenticate();
   void SetDeadline();
   void Submit();
+  /// @return the event after which the stream is continued, or nullopt if it begins
+  std::optional<std::uint64_t> ContinuedAfter() const;
   void Send(const Backend& backend);
   PooledCallHandlers MakePooledCallHandlers();
   bool OnResponseHead(const HttpHead& head);
