--- a/test/soak/engine-standin.cc
+++ b/test/soak/engine-standin.cc
@@ -46,7 +46,7 @@
   if (static_cast<int>(m_open_exchanges.size()) >= m_slots)
     return exchange->Send(503, {{names::kNotRun, "1"}, {names::kAttempt, request_id}}, "");
   m_on_run({request_id, m_id, head.Value(names::kOrganisation), head.Value(names::kApiKey),
-            head.target, m_loop.Now()});
+            head.target, m_loop.Now(), head.Value(names::kLastEventId)});
   m_open_exchanges.insert(exchange);
   const std::vector<HttpField> fields = {{names::kAttempt, request_id},
                                          {names::kSignature, SignatureOf(m_id, request_id)}};
--- a/test/soak/engine-standin.h
+++ b/test/soak/engine-standin.h
@@ -20,6 +20,7 @@
   std::string key;  ///< API key; must be empty, since gateways do not forward keys
   std::string target;
   TimePoint started;
+  std::string last_event_id;  ///< after which the stream goes on; empty if it begins
 };
 
 /// Stand-in for the platform's backend servers, which serve calls and event streams.
