--- a/include/bluebellpass/gateway/model.h
+++ b/include/bluebellpass/gateway/model.h
@@ -137,6 +137,8 @@
   /// The stream is resumed after this event; 0 if it starts at the beginning.
   std::uint64_t last_event_id = 0;
   bool is_resume = false;
+  /// The attempt that brought the first event of the stream that is resumed; empty if not stated.
+  AttemptId resumed_attempt;
 };
 
 /// Fields that the gateway adds to the request it sends to a backend server.
--- a/src/gateway/call/call-submit.cc
+++ b/src/gateway/call/call-submit.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "call.h"
+#include "gateway/streams/service-versions.h"
 #include "kernel/loop.h"
 #include "request-content.h"
 
@@ -61,6 +62,11 @@
   // The last part is the request's own, and its content covers it.
   for (std::size_t i = 0; i + 1 < m_request.prompt_parts.size(); ++i)
     request.shared_parts.emplace_back(StableHash(m_request.prompt_parts[i]));
+  if (m_route->is_stream && m_route->is_resumable)
+    request.stream_lifetime = m_request.deadline.value_or(kMaxStreamLifetime);
+  request.stream = StreamId();
+  request.is_taken_up = m_request.is_resume && m_route->is_stream;
+  request.version = m_stream_version;
   request.is_retry = m_send_count > 0 || m_unsent_retry_count > 0;
   request.is_retryable = m_route->IsRetryable() && m_send_count + 1 < m_route->max_backends;
   m_context.dispatcher.Submit(std::move(request), this);
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -122,7 +122,7 @@
     return false;
   }
   if (!Authenticate()) return false;
-  m_service = RoutingTable::PickService(*m_route, m_request.id);
+  m_service = RoutingTable::PickService(*m_route, StreamId());
   SetDeadline();
   return true;
 }
@@ -163,14 +163,18 @@
 void Call::OnRefusal(RefusalReason reason, Millis retry_after) {
   if (m_state != State::kWaiting) return;
   if (HasResponseStarted() || m_may_have_run) return Fail("not_repeated");
-  // No retry can help if the deadline cannot be met or the content of the request is quarantined.
-  const bool may_retry = reason != RefusalReason::kTooLate && reason != RefusalReason::kQuarantined;
+  // No retry can help if the deadline cannot be met, the content of the request is quarantined, or
+  // no backend server fits the stream.
+  const bool may_retry =
+      reason != RefusalReason::kTooLate && reason != RefusalReason::kQuarantined &&
+      reason != RefusalReason::kUnknownVersion && reason != RefusalReason::kNoSuchVersion;
   Refuse(reason == RefusalReason::kQuota ? kTooManyRequests : kUnavailable, NameOf(reason).data(),
          may_retry ? std::optional(retry_after) : std::nullopt);
 }
 
-void Call::OnGrant(const BackendId& id) {
+void Call::OnGrant(const BackendId& id, const std::optional<SoftwareVersion>& version) {
   if (m_state != State::kWaiting) return;
+  if (!m_stream_version) m_stream_version = version;
   m_backend_id = id;
   m_was_sent = false;
   const Backend* backend = m_context.routing_state.FindBackend(id);
@@ -181,15 +185,7 @@
     if (HasResponseStarted() || m_may_have_run) return Fail("config_stale");
     return Refuse(kUnavailable, "config_stale", kRetryAfterUnavailable);
   }
-  // The request may have been queued before the backend server asked for no more.
-  const bool is_held = backend != nullptr &&
-                       !m_context.backend_notices.MaySendTo(backend->Start(), m_context.loop.Now());
-  // The version may have been judged since the decision.
-  const bool is_excluded =
-      backend != nullptr &&
-      m_context.rollouts.UseOf(*backend, m_context.loop.Now()) == VersionUse::kExcluded;
-  if (backend == nullptr || backend->is_draining || backend->service != m_service || is_held ||
-      is_excluded) {
+  if (backend == nullptr || !MaySendTo(*backend)) {
     ReleaseRun(RunOutcome::kNotRun);
     m_excluded_backends.insert(id);
     TryResubmit(false);
@@ -200,6 +196,7 @@
 
 void Call::Send(const Backend& backend) {
   m_backend_start = backend.Start();
+  m_backend_version = backend.version;
   DispatchFields fields;
   fields.expected_backend = backend.id;
   fields.deadline = std::max(RemainingTime(), Millis{1});
@@ -356,7 +353,10 @@
   if (m_event_splitter.PartialBytes() > kMaxIncompleteBytes)
     return OnPooledCallResult(PooledCallResult::kMalformedResponse);
   if (complete_events.empty()) return;
-  if (!HasResponseStarted()) StartResponse();
+  if (!HasResponseStarted()) {
+    m_stream_version = m_backend_version;
+    StartResponse();
+  }
   m_state = State::kResponding;
   if (!m_first_event_at) {
     m_first_event_at = now;
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -63,7 +63,7 @@
   /// Ends the call in any state, because the process is about to exit.
   void Abort();
 
-  void OnGrant(const BackendId& backend) override;
+  void OnGrant(const BackendId& backend, const std::optional<SoftwareVersion>& version) override;
   void OnRefusal(RefusalReason reason, Millis retry_after) override;
 
  private:
@@ -75,6 +75,10 @@
   /// Resolves the route and the organisation, then queues the request.
   void Admit();
   bool ResolveRoute();
+  /// @return the caller's attempt that brings the first event of the response stream
+  const AttemptId& StreamId() const;
+  /// @return true if a backend server may run the request, or continue its stream
+  bool MaySendTo(const Backend& backend) const;
   bool Authenticate();
   void SetDeadline();
   void Submit();
@@ -144,8 +148,13 @@
   Timer m_timer;
   Timer m_backpressure_timer;
 
+  /// Software version of the backend servers that began the stream, once it is known. What those of
+  /// another one write does not fit.
+  std::optional<SoftwareVersion> m_stream_version;
+
   BackendId m_backend_id;
-  BackendStart m_backend_start;  ///< of the current run
+  BackendStart m_backend_start;       ///< of the current run
+  SoftwareVersion m_backend_version;  ///< of the current run
   std::set<BackendId> m_excluded_backends;
   int m_send_count = 0;  ///< backend servers that the request was sent to
   int m_unsent_retry_count = 0;
--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -73,7 +73,30 @@
   if (IsCounted(request)) m_quota.ReleaseReservation(request.organisation, request.quota_cost);
 }
 
+std::optional<SoftwareVersion> Coordinator::FindStreamVersion(const RequestInfo& request,
+                                                              TimePoint now) const {
+  const auto origin = m_streams.Find(request.stream, now);
+  if (!origin) return m_versions.OnlyVersion(request.service, now);
+  // Its route has been moved, and the services' texts do not fit together either.
+  if (origin->service != request.service) return std::nullopt;
+  return origin->version;
+}
+
+void Coordinator::RecordStream(const RequestInfo& request, const BackendId& backend) {
+  const SoftwareVersion* version = m_scheduler.VersionOf(backend);
+  if (request.stream_lifetime == Millis{0} || version == nullptr) return;
+  m_streams.Record(request.stream, {request.service, *version},
+                   request.arrived + std::min(request.stream_lifetime, kMaxStreamLifetime));
+}
+
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
+  if (request.is_taken_up && !request.version) {
+    request.version = FindStreamVersion(request, now);
+    if (!request.version) {
+      m_refusals.push_back({request.id, request.home, RefusalReason::kUnknownVersion, Millis{0}});
+      return;
+    }
+  }
   if (IsQuarantined(request)) {
     RefuseAsQuarantined(request);
     return;
@@ -172,10 +195,14 @@
 void Coordinator::SyncRequests(const InstanceId& home, std::vector<RequestInfo> waiting,
                                const std::vector<RunningRequest>& running, TimePoint now) {
   RemoveHome(home);
-  for (const RunningRequest& run : running)
+  for (const RunningRequest& run : running) {
     m_scheduler.AdoptRun(run.request, run.backend, run.is_prefilling, now);
+    RecordStream(run.request, run.backend);
+  }
   for (RequestInfo& request : waiting) {
-    if (IsQuarantined(request)) {
+    if (request.is_taken_up && !request.version) {
+      Submit(std::move(request), now);
+    } else if (IsQuarantined(request)) {
       RefuseAsQuarantined(request);
     } else {
       Enqueue(std::move(request));
@@ -199,6 +226,9 @@
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   decisions.crashes = std::move(crashes);
+  m_streams.RemoveExpired(now);
+  for (const Grant& grant : decisions.grants)
+    RecordStream(*m_scheduler.FindRunning(grant.id), grant.backend);
   for (const Refusal& refusal : decisions.refusals)
     if (refusal.quota_cost > 0)
       m_quota.ReleaseReservation(refusal.organisation, refusal.quota_cost);
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -9,6 +9,8 @@
 #include "crash-records.h"
 #include "fleet-share.h"
 #include "gateway/state/routing.h"
+#include "gateway/streams/service-versions.h"
+#include "gateway/streams/stream-origins.h"
 #include "quota.h"
 #include "scheduler.h"
 
@@ -71,6 +73,15 @@
   void MergeCrashes(const CrashUpdate& update, TimePoint now) {
     m_crash_records.Merge(update, now);
   }
+  /// The streams that may be taken up, which the coordinator and some others know.
+  StreamOrigins& Streams() { return m_streams; }
+  /// The versions that may have begun them, which every instance knows.
+  ServiceVersions& Versions() { return m_versions; }
+  const ServiceVersions& Versions() const { return m_versions; }
+  /// @return the version that may continue the stream of a request that is taken up, or nullopt if
+  /// it is unknown
+  std::optional<SoftwareVersion> FindStreamVersion(const RequestInfo& request, TimePoint now) const;
+
   /// Records that a connection to a backend server could not be established.
   void OnBackendUnreachable(const BackendId& id, TimePoint now);
   /// Replaces all waiting and running requests of an instance.
@@ -101,6 +112,8 @@
   void ReleaseReservation(const RequestInfo& request);
   void EnqueueDelayed(TimePoint now);
   void DecideRollouts(TimePoint now);
+  /// Records the version of the backend server that a stream is granted to.
+  void RecordStream(const RequestInfo& request, const BackendId& backend);
 
   std::shared_ptr<const RoutingTable> m_table;
   RolloutController m_rollouts;
@@ -108,6 +121,8 @@
   QuotaLimiter m_quota;
   GrantHistory m_grant_history;  ///< of this instance only
   CrashRecords m_crash_records;
+  StreamOrigins m_streams;
+  ServiceVersions m_versions;
   std::vector<DelayedRequest> m_delayed;
   std::vector<Refusal> m_refusals;  ///< made on submission; returned by the next Decide
 };
--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -83,6 +83,17 @@
          !backends->second.begin()->second->is_engine;
 }
 
+bool Scheduler::HasVersion(const ServiceName& service, const SoftwareVersion& version,
+                           TimePoint now) const {
+  const auto backends = m_backends_by_service.find(service);
+  if (backends == m_backends_by_service.end()) return false;
+  return std::any_of(backends->second.begin(), backends->second.end(), [&](const auto& entry) {
+    const Backend& backend = entry.second->backend;
+    return !backend.is_draining && backend.version == version &&
+           (m_rollouts == nullptr || m_rollouts->UseOf(backend, now) != VersionUse::kExcluded);
+  });
+}
+
 int Scheduler::GrantableSlots(const TrackedBackend& state) const {
   const auto slots = static_cast<std::size_t>(std::max(state.backend.slots, 1));
   if (m_share_count == 1) return static_cast<int>(slots);
@@ -116,6 +127,12 @@
         capacity.probes.push_back(open);
       continue;
     }
+    if (use == VersionUse::kStreamsOnly) {
+      const OpenBackend open{state, GrantableSlots(*state), 0, FailureLimit::kNone};
+      if (!state->backend.is_draining && state->avoid_until <= now && !open.IsFull())
+        capacity.ending.push_back(open);
+      continue;
+    }
     rates.emplace_back(state, state->failure_rate.At(now));
     if (state->backend.is_draining) continue;
     capacity.has_backends = true;
@@ -271,6 +288,7 @@
                                         const Capacity& capacity, const TimeBounds& bounds,
                                         TimePoint now) const {
   const TrackedBackend& state = *open.state;
+  if (request.version && state.backend.version != *request.version) return std::nullopt;
   if (open.IsFull() || IsBlockedByLimit(state, request, open.limit, now)) return std::nullopt;
   if (!state.is_engine) return state.running + open.penalty_ms;
   if (state.kv_cache_tokens > 0 && state.running > 0 &&
@@ -285,12 +303,13 @@
 }
 
 const Scheduler::OpenBackend* Scheduler::ChooseBackend(const RequestInfo& request,
+                                                       const std::vector<OpenBackend>& candidates,
                                                        const Capacity& capacity, bool is_late,
                                                        TimePoint now) const {
   const OpenBackend* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
   const TimeBounds bounds = BoundsOf(request, capacity, is_late, now);
-  for (const OpenBackend& open : capacity.open) {
+  for (const OpenBackend& open : candidates) {
     const auto cost = CostAt(open, request, capacity, bounds, now);
     if (!cost || *cost >= best_cost) continue;
     if (open.state->is_engine && !KeepsEventGaps(*open.state, request)) continue;
@@ -397,43 +416,60 @@
 }
 
 const Scheduler::OpenBackend* Scheduler::ChooseForGrant(const RankedRequest& ranked,
-                                                        const Capacity& capacity, TimePoint now,
-                                                        bool& is_probe) {
+                                                        Capacity& capacity, TimePoint now,
+                                                        std::vector<OpenBackend>*& uncounted) {
   const RequestInfo& request = ranked.waiting->request;
-  is_probe = false;
-  if (!capacity.probes.empty() && m_rollouts->WantsTarget(request.service, request.id, now)) {
+  uncounted = nullptr;
+  const bool wants_probe =
+      !capacity.probes.empty() &&
+      (request.version ? m_rollouts->MayProbe(request.service, request.id, now)
+                       : m_rollouts->WantsTarget(request.service, request.id, now));
+  if (wants_probe) {
     const OpenBackend* open = ChooseProbe(request, capacity, ranked.is_late, now);
-    is_probe = open != nullptr;
-    if (is_probe) return open;
+    if (open != nullptr) {
+      uncounted = &capacity.probes;
+      return open;
+    }
+  }
+  if (request.version && !capacity.ending.empty()) {
+    const OpenBackend* open =
+        ChooseBackend(request, capacity.ending, capacity, ranked.is_late, now);
+    if (open != nullptr) {
+      uncounted = &capacity.ending;
+      return open;
+    }
   }
-  return capacity.free_slots > 0 ? ChooseBackend(request, capacity, ranked.is_late, now) : nullptr;
+  return capacity.free_slots > 0
+             ? ChooseBackend(request, capacity.open, capacity, ranked.is_late, now)
+             : nullptr;
 }
 
 bool Scheduler::TryGrant(const RankedRequest& ranked, std::size_t queue_size, Capacity& capacity,
                          TimePoint now, AdmissionControl& admission, Decisions& decisions) {
   WaitingRequest& waiting = *ranked.waiting;
   const RequestInfo& request = waiting.request;
-  bool is_probe = false;
-  const OpenBackend* open = ChooseForGrant(ranked, capacity, now, is_probe);
+  std::vector<OpenBackend>* uncounted = nullptr;
+  const OpenBackend* open = ChooseForGrant(ranked, capacity, now, uncounted);
   if (open == nullptr || !admission.TryAdmit(request, now)) return false;
   TrackedBackend* state = open->state;
-  if (is_probe) {
+  if (uncounted == &capacity.probes) {
     // Only now, since a request that is not admitted is not sent. WantsTarget has seen the budget.
     m_rollouts->TakeExposure(request.service, request.id, now);
     ++state->probes;
-  } else {
+  } else if (uncounted == nullptr) {
     --capacity.free_slots;
   }
   decisions.grants.push_back({request.id,
                               request.home,
                               state->backend.id,
+                              request.version,
                               {queue_size, capacity.slots, capacity.free_slots,
                                MillisOf(now - request.arrived), waiting.size, ranked.boost}});
   StartRun(request, *state, now);
   // Retries of a request are not requests that reach the service.
   if (m_rollouts != nullptr && !request.is_retry) m_rollouts->RecordGrant(state->backend);
   if (open->IsFull()) {
-    std::vector<OpenBackend>& list = is_probe ? capacity.probes : capacity.open;
+    std::vector<OpenBackend>& list = uncounted != nullptr ? *uncounted : capacity.open;
     list.erase(list.begin() + (open - list.data()));
   }
   waiting.balance->CountResult(waiting.size, kGranted);
@@ -460,6 +496,11 @@
   for (const RankedRequest& ranked : ranked_queue) {
     WaitingRequest* waiting = ranked.waiting;
     const RequestInfo& request = waiting->request;
+    if (request.version && !HasVersion(service, *request.version, now)) {
+      Refuse(*waiting, RefusalReason::kNoSuchVersion, Millis{0},
+             {queue.size(), capacity.slots, capacity.free_slots, 0, waiting->size, 1}, decisions);
+      continue;
+    }
     const double response_ms = ResponseTimeMs(request, capacity);
     const double remaining_ms = MillisOf(request.deadline - now);
     // A run that is cut off at the deadline would take its slot from several others. Retries are
--- a/src/gateway/decisions/scheduler-names.cc
+++ b/src/gateway/decisions/scheduler-names.cc
@@ -30,6 +30,10 @@
       return "quota";
     case RefusalReason::kQuarantined:
       return "quarantined";
+    case RefusalReason::kUnknownVersion:
+      return "unknown_version";
+    case RefusalReason::kNoSuchVersion:
+      return "no_such_version";
   }
   return "overloaded";
 }
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -286,6 +286,11 @@
   return count;
 }
 
+const SoftwareVersion* Scheduler::VersionOf(const BackendId& id) const {
+  const auto found = m_backends.find(id);
+  return found == m_backends.end() ? nullptr : &found->second.backend.version;
+}
+
 int Scheduler::RunningOn(const BackendId& id) const {
   const auto found = m_backends.find(id);
   return found == m_backends.end() ? 0 : found->second.running;
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -45,6 +45,14 @@
   std::uint64_t fingerprint = 0;          ///< content hash, equal for identical requests
   /// Parts of the prompt, and the content without its query, that other requests may share.
   std::vector<Fingerprint> shared_parts;
+  /// Time for which the caller may take the stream up again from its arrival; 0 for others.
+  Millis stream_lifetime{0};
+  /// The caller's attempt that brings the first event of the stream: this one, or an earlier one.
+  AttemptId stream;
+  bool is_taken_up = false;  ///< the stream began in an earlier attempt
+  /// The stream may be continued only by this version. If not set, a stream that is taken up must
+  /// not be granted.
+  std::optional<SoftwareVersion> version;
   bool is_retry = false;      ///< the request was granted before
   bool is_retryable = false;  ///< it may be sent again after a failed run
 };
@@ -78,13 +86,22 @@
   AttemptId id;
   InstanceId home;
   BackendId backend;
+  std::optional<SoftwareVersion> version;  ///< the only one that may continue the stream
   DecisionInputs inputs;
 };
 
 /// @return the outcome's stable name in metrics
 std::string_view NameOf(RunOutcome outcome);
 
-enum class RefusalReason : std::uint8_t { kOverloaded, kTooLate, kNoBackend, kQuota, kQuarantined };
+enum class RefusalReason : std::uint8_t {
+  kOverloaded,
+  kTooLate,
+  kNoBackend,
+  kQuota,
+  kQuarantined,
+  kUnknownVersion,  ///< of a stream that is taken up
+  kNoSuchVersion,   ///< no backend server has the version that began the stream
+};
 
 /// @return the reason's stable name in logs
 std::string_view NameOf(RefusalReason reason);
@@ -223,6 +240,8 @@
   /// @return result counts by kind and size group since the start; a request counts as offered,
   /// then as granted or under its refusal reason, and a granted one under its run's outcome as well
   std::vector<SizeGroupResults> ResultsBySize() const;
+  /// @return the software version of a known backend server, or null
+  const SoftwareVersion* VersionOf(const BackendId& id) const;
   /// @return number of runs that occupy slots of a backend server
   int RunningOn(const BackendId& id) const;
   /// @return number of runs of a service at backend servers of other versions than this one
@@ -282,6 +301,8 @@
     std::vector<OpenBackend> open;  ///< with free slots, by id
     /// The same of an unproven version, whose slots are not counted below.
     std::vector<OpenBackend> probes;
+    /// The same of a version that only continues streams.
+    std::vector<OpenBackend> ending;
     bool has_backends = false;
     int free_slots = 0;
     int slots = 0;
@@ -294,6 +315,8 @@
     bool IsScarce() const;
   };
 
+  /// @return true if a backend server may continue a stream of the version now or soon
+  bool HasVersion(const ServiceName& service, const SoftwareVersion& version, TimePoint now) const;
   int GrantableSlots(const TrackedBackend& state) const;
   /// Determines the capacity and reports changes of failure limits.
   Capacity CapacityOf(const ServiceName& service, TimePoint now, Decisions& decisions);
@@ -329,8 +352,9 @@
   std::optional<double> CostAt(const OpenBackend& open, const RequestInfo& request,
                                const Capacity& capacity, const TimeBounds& bounds,
                                TimePoint now) const;
-  const OpenBackend* ChooseBackend(const RequestInfo& request, const Capacity& capacity,
-                                   bool is_late, TimePoint now) const;
+  const OpenBackend* ChooseBackend(const RequestInfo& request,
+                                   const std::vector<OpenBackend>& candidates,
+                                   const Capacity& capacity, bool is_late, TimePoint now) const;
   /// @return a backend server of an unproven version that can take the request, or null
   const OpenBackend* ChooseProbe(const RequestInfo& request, const Capacity& capacity, bool is_late,
                                  TimePoint now) const;
@@ -348,10 +372,11 @@
   };
   WaitPrediction PredictWait(const RankedRequest& ranked, double work_ahead_ms,
                              const Capacity& capacity, TimePoint now) const;
-  /// @param is_probe set if the backend server runs an unproven version
+  /// @param uncounted set to the list whose slots are not counted in the capacity, if the backend
+  /// server is of that
   /// @return the backend server that a request should be granted, or null
-  const OpenBackend* ChooseForGrant(const RankedRequest& ranked, const Capacity& capacity,
-                                    TimePoint now, bool& is_probe);
+  const OpenBackend* ChooseForGrant(const RankedRequest& ranked, Capacity& capacity, TimePoint now,
+                                    std::vector<OpenBackend>*& uncounted);
   /// @return false when no backend server can take the request
   bool TryGrant(const RankedRequest& ranked, std::size_t queue_size, Capacity& capacity,
                 TimePoint now, AdmissionControl& admission, Decisions& decisions);
--- a/src/gateway/fleet/dispatcher.h
+++ b/src/gateway/fleet/dispatcher.h
@@ -9,7 +9,8 @@
 class DispatchListener {
  public:
   virtual ~DispatchListener() = default;
-  virtual void OnGrant(const BackendId& backend) = 0;
+  /// @param version the only one that may continue the stream, if the request continues one
+  virtual void OnGrant(const BackendId& backend, const std::optional<SoftwareVersion>& version) = 0;
   virtual void OnRefusal(RefusalReason reason, Millis retry_after) = 0;
 };
 
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -70,7 +70,9 @@
   }
   Item operator()(const GrantedMessage& message) {
     return {wire::Item_Grant,
-            wire::CreateGrant(m_builder, Encode(message.id), Encode(message.backend)).Union()};
+            wire::CreateGrant(m_builder, Encode(message.id), Encode(message.backend),
+                              message.version ? Encode(*message.version) : 0)
+                .Union()};
   }
   Item operator()(const RefusedMessage& message) {
     return {wire::Item_Refuse, wire::CreateRefuse(m_builder, Encode(message.id),
@@ -156,6 +158,22 @@
                                    m_builder.CreateVector(bytes, message.bytes.size()))
                 .Union()};
   }
+  Item operator()(const StreamsMessage& message) {
+    std::vector<Offset<wire::OriginT>> origins;
+    for (const auto& [origin, records] : message.records) {
+      std::vector<Offset<wire::StreamT>> streams;
+      for (const StreamRecord& record : records) {
+        const auto remaining = std::max<std::int64_t>(ToMillis(record.until - m_now), 0);
+        streams.push_back(wire::CreateStreamT(m_builder, record.stream.Value(),
+                                              static_cast<std::uint32_t>(remaining)));
+      }
+      origins.push_back(wire::CreateOriginT(m_builder, Encode(origin.service),
+                                            Encode(origin.version),
+                                            m_builder.CreateVector(streams)));
+    }
+    return {wire::Item_Streams,
+            wire::CreateStreams(m_builder, m_builder.CreateVector(origins)).Union()};
+  }
   Offset<wire::StateContent> Encode(const StateContent& content) {
     std::vector<Offset<wire::Object>> objects;
     for (const ObjectMessage& object : content.objects)
@@ -187,7 +205,9 @@
         ToMillis(request.deadline - m_now), request.prompt_tokens, request.output_tokens,
         request.max_event_gap.count(), request.patience.count(), m_builder.CreateVector(excluded),
         request.quota_cost, request.fingerprint, request.is_retry, request.is_retryable,
-        Encode(request.route), m_builder.CreateVector(shared_parts), request.caller_age.count());
+        Encode(request.route), m_builder.CreateVector(shared_parts), request.caller_age.count(),
+        request.stream_lifetime.count(), request.stream == request.id ? 0 : Encode(request.stream),
+        request.is_taken_up, request.version ? Encode(*request.version) : 0);
   }
 
   FlatBufferBuilder& m_builder;
@@ -218,7 +238,8 @@
         return Decode(*message.item_as_Sync());
       case wire::Item_Grant:
         return GrantedMessage{DecodeId<AttemptId>(message.item_as_Grant()->id()),
-                              DecodeId<BackendId>(message.item_as_Grant()->backend())};
+                              DecodeId<BackendId>(message.item_as_Grant()->backend()),
+                              DecodeVersion(message.item_as_Grant()->version())};
       case wire::Item_Refuse:
         return Decode(*message.item_as_Refuse());
       case wire::Item_View:
@@ -239,6 +260,8 @@
         return Decode(*message.item_as_StateRequest());
       case wire::Item_StatePiece:
         return Decode(*message.item_as_StatePiece());
+      case wire::Item_Streams:
+        return Decode(*message.item_as_Streams());
       default:
         m_is_valid = false;
         return WithdrawMessage{};
@@ -295,7 +318,8 @@
     return message;
   }
   RefusedMessage Decode(const wire::Refuse& table) {
-    if (table.reason() > static_cast<std::uint8_t>(RefusalReason::kQuarantined)) m_is_valid = false;
+    if (table.reason() > static_cast<std::uint8_t>(RefusalReason::kNoSuchVersion))
+      m_is_valid = false;
     return {DecodeId<AttemptId>(table.id()),
             m_is_valid ? static_cast<RefusalReason>(table.reason()) : RefusalReason::kOverloaded,
             DecodeMillis(table.retry_after_ms())};
@@ -426,6 +450,10 @@
     if (table->shared_parts() != nullptr)
       for (const wire::FingerprintT* part : *table->shared_parts())
         request.shared_parts.emplace_back(part->value());
+    request.stream_lifetime = std::max(DecodeMillis(table->stream_lifetime_ms()), Millis{0});
+    request.stream = table->stream() == nullptr ? request.id : DecodeId<AttemptId>(table->stream());
+    request.is_taken_up = table->is_taken_up();
+    request.version = DecodeVersion(table->version());
     return request;
   }
   static std::string DecodeText(const flatbuffers::String* text) {
@@ -435,6 +463,22 @@
   static Strong DecodeId(const flatbuffers::String* text) {
     return Strong(DecodeText(text));
   }
+  static std::optional<SoftwareVersion> DecodeVersion(const flatbuffers::String* text) {
+    return text == nullptr ? std::nullopt : std::optional(DecodeId<SoftwareVersion>(text));
+  }
+  StreamsMessage Decode(const wire::Streams& table) {
+    StreamsMessage message;
+    if (table.origins() == nullptr) return message;
+    for (const wire::OriginT* origin : *table.origins()) {
+      auto& streams = message.records[{DecodeId<ServiceName>(origin->service()),
+                                       DecodeId<SoftwareVersion>(origin->version())}];
+      if (origin->streams() == nullptr) continue;
+      for (const wire::StreamT* stream : *origin->streams())
+        streams.push_back({Fingerprint(stream->stream()),
+                           m_now + std::min(Millis(stream->remaining_ms()), kMaxStreamLifetime)});
+    }
+    return message;
+  }
   double DecodeAmount(double amount) {
     if (std::isfinite(amount) && amount >= 0) return amount;
     m_is_valid = false;
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -74,6 +75,7 @@
 struct GrantedMessage {
   AttemptId id;
   BackendId backend;
+  std::optional<SoftwareVersion> version;  ///< the only one that may continue the stream
 };
 struct RefusedMessage {
   AttemptId id;
@@ -95,6 +97,13 @@
   std::vector<RolloutVerdict> verdicts;
 };
 
+/// Where streams began, either direction: what the sender has decided over a new link, all that it
+/// knows to an instance that is to keep them, then new ones from the coordinator. Only for
+/// instances with kFeatureStreams.
+struct StreamsMessage {
+  StreamRecords records;
+};
+
 /// Messages that a build understands beyond those of the first one, which closes a link on a
 /// message that it does not know. Builds state them in probes and answers, and get no others.
 using FeatureSet = std::uint32_t;
@@ -102,8 +111,9 @@
 inline constexpr FeatureSet kFeatureStateTransfer = 1U << 1U;
 /// Not a message: revisions with eras.
 inline constexpr FeatureSet kFeatureStoreEras = 1U << 2U;
+inline constexpr FeatureSet kFeatureStreams = 1U << 3U;
 inline constexpr FeatureSet kOwnFeatures =
-    kFeatureRollouts | kFeatureStateTransfer | kFeatureStoreEras;
+    kFeatureRollouts | kFeatureStateTransfer | kFeatureStoreEras | kFeatureStreams;
 
 /// Instance to coordinator, as a heartbeat: asks how current the coordinator's objects are.
 struct ProbeMessage {
@@ -172,7 +182,7 @@
     std::variant<SubmitMessage, WithdrawMessage, FirstEventMessage, ReleaseRunMessage,
                  AvoidBackendMessage, SyncRequestsMessage, GrantedMessage, RefusedMessage,
                  MembersMessage, ProbeMessage, ConfirmMessage, ObjectMessage, CrashesMessage,
-                 RolloutVerdictsMessage, StateRequestMessage, StatePieceMessage>;
+                 RolloutVerdictsMessage, StateRequestMessage, StatePieceMessage, StreamsMessage>;
 
 /// Encodes the payload of a Fleet frame.
 /// @param now time points are encoded relative to it
--- a/src/gateway/fleet/fleet-frames.cc
+++ b/src/gateway/fleet/fleet-frames.cc
@@ -37,6 +37,13 @@
     RolloutVerdictsMessage rest{TakeFrom(verdicts->verdicts, UpperHalf(verdicts->verdicts))};
     return std::pair(std::move(*verdicts), std::move(rest));
   }
+  if (auto* streams = std::get_if<StreamsMessage>(&message)) {
+    StreamsMessage rest;
+    for (auto& [origin, records] : streams->records)
+      if (records.size() > 1) rest.records[origin] = TakeFrom(records, UpperHalf(records));
+    if (rest.records.empty()) return std::nullopt;
+    return std::pair(std::move(*streams), std::move(rest));
+  }
   if (auto* sync = std::get_if<SyncRequestsMessage>(&message)) {
     if (sync->waiting.size() + sync->running.size() < 2) return std::nullopt;
     // The first part keeps the report of quotas.
--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -11,6 +11,9 @@
 
 // A member absent for this long is removed; it is not expected back under its registration.
 constexpr Millis kRemoveAbsentAfter{20'000};
+// Instances besides the coordinator that keep the records of streams. They are the next in the
+// election, so that one of them coordinates unless all are lost at once.
+constexpr std::size_t kStreamKeepers = 8;
 // Changes of members are collected for this long, since each goes to every instance.
 constexpr Millis kMembersDelay{100};
 constexpr int kUnknownProcessorClass = -100;
@@ -150,6 +153,25 @@
   }
 }
 
+void Fleet::UpdateStreamKeepers() {
+  std::set<InstanceId> keepers;
+  if (IsCoordinator()) {
+    for (const FleetMember* member : Candidates()) {
+      const auto follower = m_followers.find(member->id);
+      if (follower == m_followers.end() || !KnowsStreams(follower->second)) continue;
+      keepers.insert(member->id);
+      if (!m_stream_keepers.contains(member->id))
+        SendStreams(follower->second, m_coordinator.Streams().Snapshot(false, m_loop.Now()));
+      if (keepers.size() == kStreamKeepers) break;
+    }
+  }
+  m_stream_keepers = std::move(keepers);
+}
+
+void Fleet::SendStreams(const Peer& peer, StreamRecords records) {
+  if (!records.empty() && KnowsStreams(peer)) Enqueue(peer, StreamsMessage{std::move(records)});
+}
+
 void Fleet::BroadcastMember(const FleetMember& member) {
   m_changed_members.insert_or_assign(member.id, member);
   if (m_changed_members.size() == 1)
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -210,7 +210,8 @@
     if (!m_followers.contains(member->id)) ++missing;
   }
   const std::size_t present = m_followers.size() + 1;
-  m_coordinator.Rollouts().SetRole(IsCoordinator(), 2 * present > member_count, m_loop.Now());
+  m_has_majority = 2 * present > member_count;
+  m_coordinator.Rollouts().SetRole(IsCoordinator(), m_has_majority, m_loop.Now());
   m_coordinator.SetShare(ShareOf({IsCoordinator(), index, member_count, member_count - missing}));
 }
 
@@ -231,6 +232,7 @@
   RequestMissingState();
   if (m_has_lost_store && m_relay->HasStoreContact()) SetLostStore(false);
   RemoveAbsentMembers(now);
+  UpdateStreamKeepers();
   ElectCoordinator();
 }
 
@@ -256,6 +258,7 @@
   if (const auto old = m_followers.find(id); old != m_followers.end()) {
     const auto previous = old->second.link;
     m_followers.erase(old);
+    m_stream_keepers.erase(id);
     m_transfers.RemoveFollower(id);
     previous->Close("replaced");
     m_coordinator.RemoveHome(id);
@@ -304,6 +307,7 @@
   if (follower == m_followers.end() || follower->second.link.get() != &link) return;
   const InstanceId id = follower->first;
   m_followers.erase(follower);
+  m_stream_keepers.erase(id);
   m_transfers.RemoveFollower(id);
   m_coordinator.RemoveHome(id);
   SetAlive(id, false);
@@ -358,6 +362,10 @@
   } else if (const auto* verdicts = std::get_if<RolloutVerdictsMessage>(&message)) {
     for (const RolloutVerdict& verdict : verdicts->verdicts)
       m_coordinator.Rollouts().MergeVerdict(verdict, now);
+  } else if (const auto* streams = std::get_if<StreamsMessage>(&message)) {
+    m_coordinator.Streams().Merge(streams->records);
+    for (const InstanceId& id : m_stream_keepers)
+      if (id != follower) SendStreams(m_followers.at(id), streams->records);
   } else if (const auto* members = std::get_if<MembersMessage>(&message)) {
     MergeMembers(*members, false);
   } else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
@@ -385,9 +393,11 @@
 
 void Fleet::OnCoordinatorMessage(FleetMessage message) {
   if (const auto* grant = std::get_if<GrantedMessage>(&message)) {
-    DeliverGrant(grant->id, grant->backend);
+    DeliverGrant(grant->id, grant->backend, grant->version);
   } else if (const auto* refuse = std::get_if<RefusedMessage>(&message)) {
     DeliverRefusal(refuse->id, refuse->reason, refuse->retry_after);
+  } else if (const auto* streams = std::get_if<StreamsMessage>(&message)) {
+    m_coordinator.Streams().Merge(streams->records);
   } else if (const auto* members = std::get_if<MembersMessage>(&message)) {
     MergeMembers(*members, true);
     PostElection();
@@ -430,6 +440,9 @@
 void Fleet::SetFeatures(Peer& peer, FeatureSet features) {
   if (peer.features == features) return;
   peer.features = features;
+  const bool is_coordinator = m_coordinator_peer && &peer == &*m_coordinator_peer;
+  // It has kept what the former coordinator decided, but not what this instance did.
+  if (is_coordinator) SendStreams(peer, m_coordinator.Streams().Snapshot(true, m_loop.Now()));
   SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
 }
 
@@ -445,6 +458,9 @@
 
 void Fleet::Submit(RequestInfo request, DispatchListener* listener) {
   request.home = m_options.id;
+  // The coordinator may be of a build that does not know where streams began.
+  if (request.is_taken_up && !request.version)
+    request.version = m_coordinator.FindStreamVersion(request, m_loop.Now());
   m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
     m_coordinator.Submit(std::move(request), m_loop.Now());
@@ -493,7 +509,8 @@
   m_coordinator.RequestScheduler().AvoidBackend(id, m_loop.Now() + duration);
 }
 
-void Fleet::DeliverGrant(const AttemptId& id, const BackendId& backend) {
+void Fleet::DeliverGrant(const AttemptId& id, const BackendId& backend,
+                         const std::optional<SoftwareVersion>& version) {
   const auto found = m_requests.find(id);
   if (found == m_requests.end() || found->second.listener == nullptr) {
     // The request was withdrawn in the meantime, or has been granted by two coordinators.
@@ -506,7 +523,8 @@
   request.granted_at = m_loop.Now();
   m_coordinator.RememberGrant(request.info, request.granted_at);
   request.is_prefilling = true;
-  std::exchange(request.listener, nullptr)->OnGrant(backend);
+  request.info.version = version;
+  std::exchange(request.listener, nullptr)->OnGrant(backend, version);
 }
 
 void Fleet::DeliverRefusal(const AttemptId& id, RefusalReason reason, Millis retry_after) {
@@ -535,14 +553,16 @@
   // The coordinator has reported what a follower learns of crashes.
   if (!IsCoordinator()) decisions.crashes = {};
   for (auto& [id, peer] : m_followers) SendCrashes(peer, decisions.crashes);
+  const StreamRecords streams = m_coordinator.Streams().TakeChanges();
+  for (const InstanceId& id : m_stream_keepers) SendStreams(m_followers.at(id), streams);
   const std::vector<RolloutVerdict> verdicts = m_coordinator.Rollouts().TakeVerdicts();
   for (auto& [id, peer] : m_followers) SendVerdicts(peer, verdicts);
   m_decision_log.Write(decisions, m_coordinator.RequestScheduler(), now);
   for (const Grant& grant : decisions.grants) {
     if (grant.home == m_options.id) {
-      DeliverGrant(grant.id, grant.backend);
+      DeliverGrant(grant.id, grant.backend, grant.version);
     } else {
-      SendToFollower(grant.home, GrantedMessage{grant.id, grant.backend});
+      SendToFollower(grant.home, GrantedMessage{grant.id, grant.backend, grant.version});
     }
   }
   for (const Refusal& refusal : decisions.refusals) {
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -87,6 +87,8 @@
   std::size_t MemberCount() const { return m_members.size() + 1; }
   /// @return number of instances linked to this one as their coordinator
   std::size_t FollowerCount() const { return m_followers.size(); }
+  /// @return true if this instance coordinates more than half of the known ones
+  bool ConductsMajority() const { return IsCoordinator() && m_has_majority; }
 
   void Submit(RequestInfo request, DispatchListener* listener) override;
   void Withdraw(const AttemptId& id) override;
@@ -157,6 +159,10 @@
   void SendToFollower(const InstanceId& follower, FleetMessage message);
   void Enqueue(const Peer& peer, FleetMessage message);
   void SendCrashes(const Peer& peer, const CrashUpdate& update);
+  static bool KnowsStreams(const Peer& peer) { return (peer.features & kFeatureStreams) != 0; }
+  void SendStreams(const Peer& peer, StreamRecords records);
+  /// Chooses the followers that keep the records of streams for the next coordinators.
+  void UpdateStreamKeepers();
   void SendVerdicts(const Peer& peer, const std::vector<RolloutVerdict>& verdicts);
   /// Records what a peer understands, and sends it what depends on that.
   void SetFeatures(Peer& peer, FeatureSet features);
@@ -170,7 +176,8 @@
   void SendChangedMembers();
 
   void Decide();
-  void DeliverGrant(const AttemptId& id, const BackendId& backend);
+  void DeliverGrant(const AttemptId& id, const BackendId& backend,
+                    const std::optional<SoftwareVersion>& version);
   void DeliverRefusal(const AttemptId& id, RefusalReason reason, Millis retry_after);
 
   EventLoop& m_loop;
@@ -184,6 +191,7 @@
   std::uint64_t m_registration_revision = 0;
   bool m_is_leaving = false;
   bool m_has_lost_store = false;
+  bool m_has_majority = false;
   bool m_is_started = false;
   std::map<InstanceId, FleetMember> m_members;  ///< without this instance
   std::map<InstanceId, TimePoint> m_absent_since;
@@ -192,6 +200,7 @@
   std::map<Link*, std::shared_ptr<Link>> m_pending_links;  ///< handshake in progress
   std::optional<Peer> m_coordinator_peer;  ///< absent while this instance coordinates
   std::map<InstanceId, Peer> m_followers;  ///< linked to this one as coordinator
+  std::set<InstanceId> m_stream_keepers;   ///< followers that have all records of streams
   std::optional<InstanceId> m_coordinator_id;
   std::map<AttemptId, LocalRequest> m_requests;
   std::unordered_map<Link*, Outbox> m_outboxes;
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -81,6 +81,15 @@
 struct RolloutVerdicts;
 struct RolloutVerdictsBuilder;
 
+struct StreamT;
+struct StreamTBuilder;
+
+struct OriginT;
+struct OriginTBuilder;
+
+struct Streams;
+struct StreamsBuilder;
+
 struct HeldT;
 struct HeldTBuilder;
 
@@ -117,30 +126,31 @@
   Item_RolloutVerdicts = 14,
   Item_StateRequest = 15,
   Item_StatePiece = 16,
+  Item_Streams = 17,
   Item_MIN = Item_NONE,
-  Item_MAX = Item_StatePiece
+  Item_MAX = Item_Streams
 };
 
-inline const Item (&EnumValuesItem())[17] {
+inline const Item (&EnumValuesItem())[18] {
   static const Item values[] = {
-      Item_NONE,         Item_Submit,    Item_Withdraw, Item_Grant,   Item_Refuse,
-      Item_FirstEvent,   Item_Release,   Item_Avoid,    Item_Sync,    Item_View,
-      Item_Probe,        Item_Confirm,   Item_Object,   Item_Crashes, Item_RolloutVerdicts,
-      Item_StateRequest, Item_StatePiece};
+      Item_NONE,         Item_Submit,     Item_Withdraw, Item_Grant,   Item_Refuse,
+      Item_FirstEvent,   Item_Release,    Item_Avoid,    Item_Sync,    Item_View,
+      Item_Probe,        Item_Confirm,    Item_Object,   Item_Crashes, Item_RolloutVerdicts,
+      Item_StateRequest, Item_StatePiece, Item_Streams};
   return values;
 }
 
 inline const char *const *EnumNamesItem() {
-  static const char *const names[18] = {
+  static const char *const names[19] = {
       "NONE",         "Submit",     "Withdraw", "Grant",   "Refuse",
       "FirstEvent",   "Release",    "Avoid",    "Sync",    "View",
       "Probe",        "Confirm",    "Object",   "Crashes", "RolloutVerdicts",
-      "StateRequest", "StatePiece", nullptr};
+      "StateRequest", "StatePiece", "Streams",  nullptr};
   return names;
 }
 
 inline const char *EnumNameItem(Item e) {
-  if (flatbuffers::IsOutRange(e, Item_NONE, Item_StatePiece)) return "";
+  if (flatbuffers::IsOutRange(e, Item_NONE, Item_Streams)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesItem()[index];
 }
@@ -230,6 +240,11 @@
   static const Item enum_value = Item_StatePiece;
 };
 
+template <>
+struct ItemTraits<bluebellpass::gateway::wire::Streams> {
+  static const Item enum_value = Item_Streams;
+};
+
 bool VerifyItem(flatbuffers::Verifier &verifier, const void *obj, Item type);
 bool VerifyItemVector(flatbuffers::Verifier &verifier,
                       const flatbuffers::Vector<flatbuffers::Offset<void>> *values,
@@ -288,7 +303,11 @@
     VT_MAY_REPEAT = 34,
     VT_ROUTE = 36,
     VT_SHARED_PARTS = 38,
-    VT_CALLER_AGE_MS = 40
+    VT_CALLER_AGE_MS = 40,
+    VT_STREAM_LIFETIME_MS = 42,
+    VT_STREAM = 44,
+    VT_IS_TAKEN_UP = 46,
+    VT_VERSION = 48
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *service() const {
@@ -322,6 +341,14 @@
         flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>> *>(VT_SHARED_PARTS);
   }
   int64_t caller_age_ms() const { return GetField<int64_t>(VT_CALLER_AGE_MS, 0); }
+  int64_t stream_lifetime_ms() const { return GetField<int64_t>(VT_STREAM_LIFETIME_MS, 0); }
+  const flatbuffers::String *stream() const {
+    return GetPointer<const flatbuffers::String *>(VT_STREAM);
+  }
+  bool is_taken_up() const { return GetField<uint8_t>(VT_IS_TAKEN_UP, 0) != 0; }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_SERVICE) &&
@@ -342,7 +369,12 @@
            VerifyField<uint8_t>(verifier, VT_MAY_REPEAT, 1) && VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) && VerifyOffset(verifier, VT_SHARED_PARTS) &&
            verifier.VerifyVector(shared_parts()) && verifier.VerifyVectorOfTables(shared_parts()) &&
-           VerifyField<int64_t>(verifier, VT_CALLER_AGE_MS, 8) && verifier.EndTable();
+           VerifyField<int64_t>(verifier, VT_CALLER_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_STREAM_LIFETIME_MS, 8) &&
+           VerifyOffset(verifier, VT_STREAM) && verifier.VerifyString(stream()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_TAKEN_UP, 1) &&
+           VerifyOffset(verifier, VT_VERSION) && verifier.VerifyString(version()) &&
+           verifier.EndTable();
   }
 };
 
@@ -405,6 +437,18 @@
   void add_caller_age_ms(int64_t caller_age_ms) {
     fbb_.AddElement<int64_t>(WorkT::VT_CALLER_AGE_MS, caller_age_ms, 0);
   }
+  void add_stream_lifetime_ms(int64_t stream_lifetime_ms) {
+    fbb_.AddElement<int64_t>(WorkT::VT_STREAM_LIFETIME_MS, stream_lifetime_ms, 0);
+  }
+  void add_stream(flatbuffers::Offset<flatbuffers::String> stream) {
+    fbb_.AddOffset(WorkT::VT_STREAM, stream);
+  }
+  void add_is_taken_up(bool is_taken_up) {
+    fbb_.AddElement<uint8_t>(WorkT::VT_IS_TAKEN_UP, static_cast<uint8_t>(is_taken_up), 0);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(WorkT::VT_VERSION, version);
+  }
   explicit WorkTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -427,8 +471,11 @@
     flatbuffers::Offset<
         flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>>
         shared_parts = 0,
-    int64_t caller_age_ms = 0) {
+    int64_t caller_age_ms = 0, int64_t stream_lifetime_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> stream = 0, bool is_taken_up = false,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   WorkTBuilder builder_(_fbb);
+  builder_.add_stream_lifetime_ms(stream_lifetime_ms);
   builder_.add_caller_age_ms(caller_age_ms);
   builder_.add_fingerprint(fingerprint);
   builder_.add_quota_cost(quota_cost);
@@ -439,6 +486,8 @@
   builder_.add_remaining_ms(remaining_ms);
   builder_.add_objective_ms(objective_ms);
   builder_.add_age_ms(age_ms);
+  builder_.add_version(version);
+  builder_.add_stream(stream);
   builder_.add_shared_parts(shared_parts);
   builder_.add_route(route);
   builder_.add_excluded(excluded);
@@ -446,6 +495,7 @@
   builder_.add_organisation(organisation);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_is_taken_up(is_taken_up);
   builder_.add_may_repeat(may_repeat);
   builder_.add_is_repeat(is_repeat);
   return builder_.Finish();
@@ -461,7 +511,8 @@
     bool may_repeat = false, const char *route = nullptr,
     const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>
         *shared_parts = nullptr,
-    int64_t caller_age_ms = 0) {
+    int64_t caller_age_ms = 0, int64_t stream_lifetime_ms = 0, const char *stream = nullptr,
+    bool is_taken_up = false, const char *version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
@@ -473,10 +524,13 @@
           ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::FingerprintT>>(
                 *shared_parts)
           : 0;
+  auto stream__ = stream ? _fbb.CreateString(stream) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return bluebellpass::gateway::wire::CreateWorkT(
       _fbb, id__, service__, organisation__, rank, age_ms, objective_ms, remaining_ms,
       prompt_tokens, output_tokens, max_gap_ms, patience_ms, excluded__, quota_cost, fingerprint,
-      is_repeat, may_repeat, route__, shared_parts__, caller_age_ms);
+      is_repeat, may_repeat, route__, shared_parts__, caller_age_ms, stream_lifetime_ms, stream__,
+      is_taken_up, version__);
 }
 
 struct RunT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -757,15 +811,23 @@
 
 struct Grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GrantBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ID = 4, VT_BACKEND = 6 };
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_BACKEND = 6,
+    VT_VERSION = 8
+  };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *backend() const {
     return GetPointer<const flatbuffers::String *>(VT_BACKEND);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_BACKEND) &&
-           verifier.VerifyString(backend()) && verifier.EndTable();
+           verifier.VerifyString(backend()) && VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) && verifier.EndTable();
   }
 };
 
@@ -777,6 +839,9 @@
   void add_backend(flatbuffers::Offset<flatbuffers::String> backend) {
     fbb_.AddOffset(Grant::VT_BACKEND, backend);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(Grant::VT_VERSION, version);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -789,8 +854,10 @@
 
 inline flatbuffers::Offset<Grant> CreateGrant(
     flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> id = 0,
-    flatbuffers::Offset<flatbuffers::String> backend = 0) {
+    flatbuffers::Offset<flatbuffers::String> backend = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   GrantBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_backend(backend);
   builder_.add_id(id);
   return builder_.Finish();
@@ -798,10 +865,12 @@
 
 inline flatbuffers::Offset<Grant> CreateGrantDirect(flatbuffers::FlatBufferBuilder &_fbb,
                                                     const char *id = nullptr,
-                                                    const char *backend = nullptr) {
+                                                    const char *backend = nullptr,
+                                                    const char *version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto backend__ = backend ? _fbb.CreateString(backend) : 0;
-  return bluebellpass::gateway::wire::CreateGrant(_fbb, id__, backend__);
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return bluebellpass::gateway::wire::CreateGrant(_fbb, id__, backend__, version__);
 }
 
 struct Refuse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1840,6 +1909,182 @@
   return bluebellpass::gateway::wire::CreateRolloutVerdicts(_fbb, verdicts__);
 }
 
+struct StreamT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_REMAINING_MS = 6
+  };
+  uint64_t stream() const { return GetField<uint64_t>(VT_STREAM, 0); }
+  uint32_t remaining_ms() const { return GetField<uint32_t>(VT_REMAINING_MS, 0); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) && verifier.EndTable();
+  }
+};
+
+struct StreamTBuilder {
+  typedef StreamT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) { fbb_.AddElement<uint64_t>(StreamT::VT_STREAM, stream, 0); }
+  void add_remaining_ms(uint32_t remaining_ms) {
+    fbb_.AddElement<uint32_t>(StreamT::VT_REMAINING_MS, remaining_ms, 0);
+  }
+  explicit StreamTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamT> CreateStreamT(flatbuffers::FlatBufferBuilder &_fbb,
+                                                  uint64_t stream = 0, uint32_t remaining_ms = 0) {
+  StreamTBuilder builder_(_fbb);
+  builder_.add_stream(stream);
+  builder_.add_remaining_ms(remaining_ms);
+  return builder_.Finish();
+}
+
+struct OriginT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginTBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6,
+    VT_STREAMS = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>> *streams()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>> *>(
+        VT_STREAMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) && VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) && VerifyOffset(verifier, VT_STREAMS) &&
+           verifier.VerifyVector(streams()) && verifier.VerifyVectorOfTables(streams()) &&
+           verifier.EndTable();
+  }
+};
+
+struct OriginTBuilder {
+  typedef OriginT Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(OriginT::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(OriginT::VT_VERSION, version);
+  }
+  void add_streams(flatbuffers::Offset<
+                   flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>>>
+                       streams) {
+    fbb_.AddOffset(OriginT::VT_STREAMS, streams);
+  }
+  explicit OriginTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginT> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginT>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginT> CreateOriginT(
+    flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>>>
+        streams = 0) {
+  OriginTBuilder builder_(_fbb);
+  builder_.add_streams(streams);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OriginT> CreateOriginTDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, const char *service = nullptr,
+    const char *version = nullptr,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>> *streams =
+        nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto streams__ =
+      streams
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::StreamT>>(*streams)
+          : 0;
+  return bluebellpass::gateway::wire::CreateOriginT(_fbb, service__, version__, streams__);
+}
+
+struct Streams FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ORIGINS = 4 };
+  const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>> *origins()
+      const {
+    return GetPointer<
+        const flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>> *>(
+        VT_ORIGINS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) && verifier.VerifyVectorOfTables(origins()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamsBuilder {
+  typedef Streams Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_origins(flatbuffers::Offset<
+                   flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>>>
+                       origins) {
+    fbb_.AddOffset(Streams::VT_ORIGINS, origins);
+  }
+  explicit StreamsBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Streams> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Streams>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Streams> CreateStreams(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<
+        flatbuffers::Vector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>>>
+        origins = 0) {
+  StreamsBuilder builder_(_fbb);
+  builder_.add_origins(origins);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Streams> CreateStreamsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>> *origins =
+        nullptr) {
+  auto origins__ =
+      origins
+          ? _fbb.CreateVector<flatbuffers::Offset<bluebellpass::gateway::wire::OriginT>>(*origins)
+          : 0;
+  return bluebellpass::gateway::wire::CreateStreams(_fbb, origins__);
+}
+
 struct HeldT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeldTBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_NAME = 4, VT_REVISION = 6 };
@@ -2224,6 +2469,11 @@
                ? static_cast<const bluebellpass::gateway::wire::StatePiece *>(item())
                : nullptr;
   }
+  const bluebellpass::gateway::wire::Streams *item_as_Streams() const {
+    return item_type() == bluebellpass::gateway::wire::Item_Streams
+               ? static_cast<const bluebellpass::gateway::wire::Streams *>(item())
+               : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyField<uint8_t>(verifier, VT_ITEM_TYPE, 1) &&
            VerifyOffset(verifier, VT_ITEM) && VerifyItem(verifier, item(), item_type()) &&
@@ -2327,6 +2577,12 @@
   return item_as_StatePiece();
 }
 
+template <>
+inline const bluebellpass::gateway::wire::Streams *
+Message::item_as<bluebellpass::gateway::wire::Streams>() const {
+  return item_as_Streams();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2480,6 +2736,10 @@
       auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::StatePiece *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Item_Streams: {
+      auto ptr = reinterpret_cast<const bluebellpass::gateway::wire::Streams *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default:
       return true;
   }
--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -15,6 +15,7 @@
 void Gateway::SetSchedulerBackend(const Backend& backend) {
   const auto& table = m_routing_state.Table();
   m_coordinator.Rollouts().SetBackend(backend, m_loop.Now());
+  m_coordinator.Versions().SetBackend(backend, m_loop.Now());
   m_coordinator.RequestScheduler().SetBackend(
       backend, table ? table->FindService(backend.service) : nullptr);
 }
@@ -64,6 +65,7 @@
   m_routing_state.RemoveBackend(id);
   m_coordinator.RequestScheduler().RemoveBackend(id);
   m_coordinator.Rollouts().RemoveBackend(id, m_loop.Now());
+  m_coordinator.Versions().RemoveBackend(id, m_loop.Now());
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/gateway-membership.cc
+++ b/src/gateway/gateway-membership.cc
@@ -31,37 +31,48 @@
 
 }  // namespace
 
-void Gateway::ReadLinkKeys(ReadConsistency consistency) {
+void Gateway::ReadFleetObjects() {
   m_store_client->List(
-      ObjectKind::kFleet, "", consistency, [this, consistency](Result<ObjectPage> result) {
-        if (!IsOk(result)) return m_keys_task.RetryLater();
-        for (const StoredObject& object : std::get<ObjectPage>(result).objects) {
-          if (object.name != kLinkKeysObject || !object.spec) continue;
-          std::vector<std::string> keys;
-          for (const auto& key : object.spec->value("keys", nlohmann::json::array()))
-            if (key.is_string()) keys.push_back(key.get<std::string>());
-          if (keys.empty()) continue;
-          m_link_keys = std::move(keys);
-          if (m_fleet.IsStarted()) m_fleet.SetKeys(m_link_keys);
-          return JoinFleetIfReady();
-        }
-        // A stale read may miss the keys, but otherwise suffices, because they never change.
-        if (consistency == ReadConsistency::kAllowStale)
-          return ReadLinkKeys(ReadConsistency::kCurrent);
-        // The first instance to create the object sets the key for all. The object is read again in
-        // any case, which resolves conflicts and lost responses.
-        const std::vector<std::string> keys =
-            m_link_keys.empty() ? std::vector{MakeLinkKey()} : m_link_keys;
-        m_store_client->Create(
-            ObjectKind::kFleet, kLinkKeysObject, {{"keys", keys}},
-            [this](const Result<Revision>&) { ReadLinkKeys(ReadConsistency::kCurrent); });
+      ObjectKind::kFleet, "", ReadConsistency::kCurrent, [this](Result<ObjectPage> result) {
+        if (!IsOk(result)) return m_fleet_objects_task.RetryLater();
+        m_fleet_objects_task.Stop();
+        const auto& objects = std::get<ObjectPage>(result).objects;
+        for (const StoredObject& object : objects)
+          if (object.name == kVersionRecordObject && object.spec)
+            m_coordinator.Versions().AddRecorded(VersionRecord::Decode(*object.spec), m_loop.Now());
+        AdoptLinkKeys(objects);
       });
 }
 
+void Gateway::AdoptLinkKeys(const std::vector<StoredObject>& objects) {
+  for (const StoredObject& object : objects) {
+    if (object.name != kLinkKeysObject || !object.spec) continue;
+    std::vector<std::string> keys;
+    for (const auto& key : object.spec->value("keys", nlohmann::json::array()))
+      if (key.is_string()) keys.push_back(key.get<std::string>());
+    if (keys.empty()) continue;
+    m_link_keys = std::move(keys);
+    if (m_fleet.IsStarted()) m_fleet.SetKeys(m_link_keys);
+    return JoinFleetIfReady();
+  }
+  // The first instance to create the object sets the key for all. The object is read again in any
+  // case, which resolves conflicts and lost responses.
+  const std::vector<std::string> keys =
+      m_link_keys.empty() ? std::vector{MakeLinkKey()} : m_link_keys;
+  m_store_client->Create(ObjectKind::kFleet, kLinkKeysObject, {{"keys", keys}},
+                         [this](const Result<Revision>&) { ReadFleetObjects(); });
+}
+
+void Gateway::UpdateVersionRecord() {
+  if (m_fleet.ConductsMajority())
+    m_version_record.Update(m_coordinator.Versions().Mixed(m_loop.Now()));
+}
+
 void Gateway::OnStoreRestored() {
   for (ObjectWatch* watch : {m_config_watch.get(), m_backend_watch.get(), m_rollout_watch.get()})
     if (watch != nullptr) watch->Relist();
-  ReadLinkKeys(ReadConsistency::kCurrent);
+  m_version_record.Reset();
+  ReadFleetObjects();
   if (m_is_stopping) return;
   m_is_registered = false;
   Register();
@@ -86,7 +97,7 @@
   const Result<Ok> started = m_fleet.Start(m_link_keys);
   if (!IsOk(started)) {
     // A previous process may still hold the port.
-    m_keys_task.RetryLater();
+    m_fleet_objects_task.RetryLater();
     return LogEvent(EventId::kObjectRejected,
                     {{"object", kLinkKeysObject}, {"reason", ErrorOf(started).message}});
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -51,6 +51,7 @@
 // instances and backend servers do not coincide.
 constexpr double kRetryBudgetFraction = 0.8;
 constexpr Millis kRetryBudgetUpdatePeriod{1'000};
+constexpr Millis kVersionRecordPeriod{200};
 
 // Larger blocks of memory go back to the system when they are freed. By default the C library
 // raises this size with the blocks that are used, and keeps what was needed once.
@@ -169,11 +170,15 @@
       m_log_writer(std::make_shared<LogWriter>(STDOUT_FILENO)),
       m_routing_state(m_clock, MakeStalenessBounds(m_settings)),
       m_store_client(m_platform.make_store_client(m_loop, m_settings, m_buffer_memory)),
+      m_version_record(m_loop, *m_store_client),
       m_fleet(m_loop, MakeFleetOptions(m_settings, m_incarnation), m_coordinator,
               {[this](const InstanceId& id, std::uint64_t registration_revision) {
                  RemoveInstance(id, registration_revision);
                },
-               [this](bool is_remote) { m_relay->OnCoordinatorChanged(is_remote); }}),
+               [this](bool is_remote) {
+                 m_relay->OnCoordinatorChanged(is_remote);
+                 m_version_record.Reset();
+               }}),
       m_pool(m_loop, MakePoolOptions(m_buffer_memory)),
       m_caller_server(
           m_loop, MakeHttpLimits(m_settings, {}),
@@ -192,9 +197,10 @@
           [this](const std::shared_ptr<HttpExchange>& exchange) { OnMetricsRequest(exchange); },
           &m_buffer_memory),
       m_register_task(m_loop, [this] { Register(); }),
-      m_keys_task(m_loop, [this] { ReadLinkKeys(ReadConsistency::kAllowStale); }),
+      m_fleet_objects_task(m_loop, [this] { ReadFleetObjects(); }),
       m_list_task(m_loop, [this] { ListInstances("", m_is_registered); }),
       m_budget_timer(m_loop),
+      m_versions_timer(m_loop),
       m_signal_timer(m_loop),
       m_stop_timer(m_loop),
       m_abort_timer(m_loop),
@@ -239,9 +245,10 @@
   }
   LogEvent(EventId::kStarted, {{"address", m_settings.caller_listen.Text()}});
   m_budget_timer.StartPeriodic(kRetryBudgetUpdatePeriod, [this] { UpdateRetryBudgets(); });
+  m_versions_timer.StartPeriodic(kVersionRecordPeriod, [this] { UpdateVersionRecord(); });
   StartWatches();
   Register();
-  ReadLinkKeys(ReadConsistency::kAllowStale);
+  ReadFleetObjects();
   m_signal_timer.StartPeriodic(kSignalCheckPeriod, [this] { CheckSignals(); });
   m_log_timer.StartPeriodic(kLogFlushPeriod, [this] { m_log_writer->Flush(); });
   m_loop.Run();
@@ -277,6 +284,9 @@
     OnBackendObject(object);
   };
   backend_events.on_batch = [this] { OnBackendBatch(); };
+  backend_events.on_confirmed = [this](BootTime at) {
+    m_coordinator.Versions().SetConfirmed(m_loop.Now() - (m_clock.Now() - at));
+  };
   backend_events.on_reachability = MakeReachabilityLogger("backends");
   m_backend_watch = std::make_unique<ObjectWatch>(
       *m_store_client, m_loop, m_clock, ObjectKind::kBackends, options, std::move(backend_events));
@@ -316,7 +326,7 @@
 void Gateway::OnStoreReachable() {
   m_backend_watch->RetryNow();
   if (m_rollout_watch) m_rollout_watch->RetryNow();
-  for (StoreTask* task : {&m_register_task, &m_keys_task, &m_list_task}) task->RetryNow();
+  for (StoreTask* task : {&m_register_task, &m_fleet_objects_task, &m_list_task}) task->RetryNow();
 }
 
 void Gateway::OnConfigObject(const StoredObject& object) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/state/object-watch.h"
 #include "gateway/state/routing-state.h"
 #include "gateway/state/store-task.h"
+#include "gateway/streams/version-record.h"
 #include "kernel/http1-pool.h"
 #include "kernel/http1-server.h"
 #include "kernel/log-writer.h"
@@ -60,7 +61,11 @@
   void OnConfigObject(const StoredObject& object);
   void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
-  void ReadLinkKeys(ReadConsistency consistency);
+  /// Reads the keys of links and the versions that may have begun streams.
+  void ReadFleetObjects();
+  /// Adopts the keys of links, or creates them if the store has none.
+  void AdoptLinkKeys(const std::vector<StoredObject>& objects);
+  void UpdateVersionRecord();
   /// Reads the registered instances.
   /// @param after name of the last instance that was read; empty to start
   /// @param was_registered true if this instance was registered when the list was started. Only
@@ -108,6 +113,7 @@
   /// Null if the deployment has no roll-outs.
   std::unique_ptr<ObjectWatch> m_rollout_watch;
   std::unique_ptr<RolloutTask> m_rollout_task;
+  VersionRecord m_version_record;
   std::unique_ptr<ObjectRelay> m_relay;
   Coordinator m_coordinator;
   Fleet m_fleet;
@@ -131,9 +137,10 @@
   TimePoint m_stop_waiting_until;  ///< requests that the exit could cut off wait until then
   TimePoint m_exit_at;
   StoreTask m_register_task;
-  StoreTask m_keys_task;
+  StoreTask m_fleet_objects_task;
   StoreTask m_list_task;
   Timer m_budget_timer;
+  Timer m_versions_timer;
   Timer m_signal_timer;
   Timer m_stop_timer;
   Timer m_abort_timer;
--- a/src/gateway/rollout/rollout-controller.cc
+++ b/src/gateway/rollout/rollout-controller.cc
@@ -188,7 +188,7 @@
   }
   // A follower sends what the coordinator has granted while the target takes over.
   if (m_is_coordinator && rollout.State() == RolloutState::kRunning && rollout.IsTargetOnly(now))
-    return VersionUse::kExcluded;
+    return VersionUse::kStreamsOnly;
   return VersionUse::kAllowed;
 }
 
@@ -224,6 +224,12 @@
   return FractionOf(id, kShareSalt) < state->rollout->Share(IsPacked(id), now);
 }
 
+bool RolloutController::MayProbe(const ServiceName& service, const AttemptId& id,
+                                 TimePoint now) const {
+  const ServiceState* state = FindState(service);
+  return state != nullptr && state->rollout && state->rollout->Share(IsPacked(id), now) > 0;
+}
+
 bool RolloutController::IsPacked(const AttemptId& id) { return FractionOf(id, kPackSalt) < 0.5; }
 
 bool RolloutController::TakeExposure(const ServiceName& service, const AttemptId& id,
--- a/src/gateway/rollout/rollout-controller.h
+++ b/src/gateway/rollout/rollout-controller.h
@@ -17,8 +17,9 @@
 /// What the version of a backend server permits at present.
 enum class VersionUse : std::uint8_t {
   kAllowed,
-  kProbe,     ///< unproven: only within the exposure budget
-  kExcluded,  ///< gets no requests
+  kProbe,        ///< unproven: only within the exposure budget
+  kStreamsOnly,  ///< replaced: gets no requests but streams that it began
+  kExcluded,     ///< gets no requests
 };
 
 /// A decision about a target that instances follow before it is in the store.
@@ -88,6 +89,8 @@
   /// @return true when a request should be sent to the target of its service's order, if one of its
   /// backend servers can take it; TakeExposure must follow
   bool WantsTarget(const ServiceName& service, const AttemptId& id, TimePoint now) const;
+  /// @return true when the exposure budget has room for a stream that the target began
+  bool MayProbe(const ServiceName& service, const AttemptId& id, TimePoint now) const;
   /// @return true when the request should run where requests are packed, to show faults under load;
   /// false when it should be spread over all backend servers of the target
   static bool IsPacked(const AttemptId& id);
