Keep revisions with eras from builds that do not know them

Cause: found by review. A follower of an older build took the confirmed revisions with an era for its own, counted as current and was not sent later changes; it also elected by the whole number of a registration (CONFIG, QUOTA during an upgrade). Change: such a follower is told not to rely on this instance and gets no transfer, so it reads the store itself; registrations are sent as the number that the store states, with the era in a field of its own. Before and after: gateway-relay-test, OlderBuildsGetNoRevisionsWithEras, fails without the change by construction of its last check and passes now; gateway-election-test and gateway-fleet-codec-test pass.

--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -83,12 +83,13 @@
   Item operator()(const MembersMessage& message) {
     std::vector<Offset<wire::RecordT>> members;
     for (const FleetMember& member : message.members)
-      members.push_back(
-          wire::CreateRecordT(m_builder, Encode(member.id), Encode(member.data_centre),
-                              Encode(member.caller_address.ip), member.caller_address.port,
-                              Encode(member.peer_address.ip), member.peer_address.port,
-                              member.registration_revision, member.is_alive, member.is_leaving,
-                              member.is_removed, member.has_lost_store, member.processor_share));
+      members.push_back(wire::CreateRecordT(
+          m_builder, Encode(member.id), Encode(member.data_centre),
+          Encode(member.caller_address.ip), member.caller_address.port,
+          Encode(member.peer_address.ip), member.peer_address.port,
+          NumberOf(Revision(member.registration_revision)), member.is_alive, member.is_leaving,
+          member.is_removed, member.has_lost_store, member.processor_share,
+          EraOf(Revision(member.registration_revision)).Value()));
     return {wire::Item_View, wire::CreateView(m_builder, m_builder.CreateVector(members)).Union()};
   }
   Item operator()(const ProbeMessage& message) {
@@ -353,7 +354,7 @@
       member.data_centre = DecodeId<DataCentre>(record->data_centre());
       member.caller_address = {DecodeText(record->caller_ip()), record->caller_port()};
       member.peer_address = {DecodeText(record->peer_ip()), record->peer_port()};
-      member.registration_revision = record->registered();
+      member.registration_revision = DecodeRevision(record->registered_era(), record->registered());
       member.is_alive = record->is_alive();
       member.is_leaving = record->is_leaving();
       member.is_removed = record->is_gone();
@@ -479,6 +480,11 @@
     }
     return message;
   }
+  std::uint64_t DecodeRevision(std::uint64_t era, std::uint64_t number) {
+    const Revision revision = MakeRevision(StoreEra(era), number);
+    m_is_valid = m_is_valid && EraOf(revision) == StoreEra(era) && NumberOf(revision) == number;
+    return revision.Value();
+  }
   double DecodeAmount(double amount) {
     if (std::isfinite(amount) && amount >= 0) return amount;
     m_is_valid = false;
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -375,6 +375,9 @@
     if (probe->has_store_contact && IsCoordinator() && !m_relay->HasStoreContact())
       SetLostStore(true);
   } else if (auto* request = std::get_if<StateRequestMessage>(&message)) {
+    // Contents have revisions with eras.
+    const bool knows_eras = (m_followers.at(follower).features & kFeatureStoreEras) != 0;
+    if (m_relay->HasEras() && !knows_eras) return;
     m_transfers.Add(follower, std::move(*request));
     if (!m_is_transferring) SendStatePieces();
   }
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -611,7 +611,8 @@
     VT_IS_LEAVING = 20,
     VT_IS_GONE = 22,
     VT_IS_DETACHED = 24,
-    VT_PROCESSOR_SHARE = 26
+    VT_PROCESSOR_SHARE = 26,
+    VT_REGISTERED_ERA = 28
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *data_centre() const {
@@ -631,6 +632,7 @@
   bool is_gone() const { return GetField<uint8_t>(VT_IS_GONE, 0) != 0; }
   bool is_detached() const { return GetField<uint8_t>(VT_IS_DETACHED, 0) != 0; }
   double processor_share() const { return GetField<double>(VT_PROCESSOR_SHARE, 0.0); }
+  uint64_t registered_era() const { return GetField<uint64_t>(VT_REGISTERED_ERA, 0); }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_DATA_CENTRE) &&
@@ -644,7 +646,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_GONE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_DETACHED, 1) &&
-           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) && verifier.EndTable();
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTERED_ERA, 8) && verifier.EndTable();
   }
 };
 
@@ -686,6 +689,9 @@
   void add_processor_share(double processor_share) {
     fbb_.AddElement<double>(RecordT::VT_PROCESSOR_SHARE, processor_share, 0.0);
   }
+  void add_registered_era(uint64_t registered_era) {
+    fbb_.AddElement<uint64_t>(RecordT::VT_REGISTERED_ERA, registered_era, 0);
+  }
   explicit RecordTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -702,8 +708,9 @@
     flatbuffers::Offset<flatbuffers::String> caller_ip = 0, uint16_t caller_port = 0,
     flatbuffers::Offset<flatbuffers::String> peer_ip = 0, uint16_t peer_port = 0,
     uint64_t registered = 0, bool is_alive = false, bool is_leaving = false, bool is_gone = false,
-    bool is_detached = false, double processor_share = 0.0) {
+    bool is_detached = false, double processor_share = 0.0, uint64_t registered_era = 0) {
   RecordTBuilder builder_(_fbb);
+  builder_.add_registered_era(registered_era);
   builder_.add_processor_share(processor_share);
   builder_.add_registered(registered);
   builder_.add_peer_ip(peer_ip);
@@ -724,14 +731,14 @@
     const char *data_centre = nullptr, const char *caller_ip = nullptr, uint16_t caller_port = 0,
     const char *peer_ip = nullptr, uint16_t peer_port = 0, uint64_t registered = 0,
     bool is_alive = false, bool is_leaving = false, bool is_gone = false, bool is_detached = false,
-    double processor_share = 0.0) {
+    double processor_share = 0.0, uint64_t registered_era = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto caller_ip__ = caller_ip ? _fbb.CreateString(caller_ip) : 0;
   auto peer_ip__ = peer_ip ? _fbb.CreateString(peer_ip) : 0;
   return bluebellpass::gateway::wire::CreateRecordT(
       _fbb, id__, data_centre__, caller_ip__, caller_port, peer_ip__, peer_port, registered,
-      is_alive, is_leaving, is_gone, is_detached, processor_share);
+      is_alive, is_leaving, is_gone, is_detached, processor_share, registered_era);
 }
 
 struct Submit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -92,15 +92,21 @@
 
 ConfirmMessage ObjectRelay::AnswerProbe(const ProbeMessage& probe) const {
   const BootTime now = m_clock.Now();
+  const bool knows_eras = (probe.features & kFeatureStoreEras) != 0;
+  const auto revision_of = [&](const ObjectWatch& watch) {
+    const Revision revision = ConfirmedRevision(watch);
+    // Older builds cannot compare it with what they read, and get no changes.
+    return knows_eras || EraOf(revision) == StoreEra{} ? revision.Value() : 0;
+  };
   ConfirmMessage confirm;
   confirm.probe_sent_ns = probe.sent_ns;
-  confirm.config_revision = ConfirmedRevision(*m_config.watch).Value();
+  confirm.config_revision = revision_of(*m_config.watch);
   confirm.config_age = now - m_config.watch->ConfirmedAt();
-  confirm.backends_revision = ConfirmedRevision(*m_backends.watch).Value();
+  confirm.backends_revision = revision_of(*m_backends.watch);
   confirm.backends_age = now - m_backends.watch->ConfirmedAt();
   confirm.features = kOwnFeatures;
   if (m_rollouts.watch != nullptr) {
-    confirm.rollouts_revision = ConfirmedRevision(*m_rollouts.watch).Value();
+    confirm.rollouts_revision = revision_of(*m_rollouts.watch);
     confirm.rollouts_age = now - m_rollouts.watch->ConfirmedAt();
   }
   return confirm;
--- a/src/gateway/fleet/relay.h
+++ b/src/gateway/fleet/relay.h
@@ -34,6 +34,8 @@
   void UpdateSuspension();
 
   // Coordinator:
+  /// @return true if the store states its era
+  bool HasEras() const { return EraOf(m_config.watch->SeenRevision()) != StoreEra{}; }
   /// @return the answer to a follower's probe
   ConfirmMessage AnswerProbe(const ProbeMessage& probe) const;
   /// @param instances number of instances that the message is sent to
--- a/test/gateway-relay-test.cc
+++ b/test/gateway-relay-test.cc
@@ -150,6 +150,16 @@
   BOOST_TEST(follower.config.IsSuspended());
 }
 
+// Guards against a follower of an older build that relies on a coordinator which does not send it
+// objects with eras.
+BOOST_FIXTURE_TEST_CASE(OlderBuildsGetNoRevisionsWithEras, Fixture) {
+  ProbeMessage probe = follower.relay.MakeProbe();
+  probe.features = 0;
+  BOOST_TEST(coordinator.relay.AnswerProbe(probe).config_revision == 10U);
+  coordinator.config.Confirm(MakeRevision(StoreEra(2), 8), clock.Now());
+  BOOST_TEST(coordinator.relay.AnswerProbe(probe).config_revision == 0U);
+}
+
 // Guards against a change of a lost time that is applied after the store was restored.
 BOOST_FIXTURE_TEST_CASE(ObjectOfAnEarlierEraIsIgnored, Fixture) {
   follower.relay.OnCoordinatorChanged(true);
