Test where streams go on and the eras of the store

No unit test named StreamOrigins, ServiceVersions, VersionRecord, StreamsMessage, Resumes or Store-Era.

The codec, frame and platform tests get the new fields, the split of StreamsMessage, Resumes, seq and Store-Era; platform-test is linked with the stand-in of the store for that.

--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -29,6 +29,10 @@
   request.is_retry = true;
   request.is_retryable = true;
   request.route = "questions";
+  request.stream_lifetime = Millis{25'000};
+  request.stream = AttemptId("a0");
+  request.is_taken_up = true;
+  request.version = SoftwareVersion("v2");
   return request;
 }
 
@@ -59,7 +63,7 @@
       SyncRequestsMessage{{SampleRequest()},
                           {{SampleRequest(), BackendId("b"), false}},
                           {{{OrganisationId("o"), kNow - Millis{600}, 2.5}}, Millis{7'000}, 0.25}},
-      GrantedMessage{AttemptId("a5"), BackendId("b")},
+      GrantedMessage{AttemptId("a5"), BackendId("b"), SoftwareVersion("v3")},
       RefusedMessage{AttemptId("a6"), RefusalReason::kQuota, Millis{321}},
       MembersMessage{{member}},
       ProbeMessage{123'456, true},
@@ -67,7 +71,17 @@
       ObjectMessage{ObjectKind::kBackends, "e", 12, false, "{}", "[]", 11},
       CrashesMessage{{{crash}, {{Fingerprint(7), kNow - Millis{70}}}}},
       StateRequestMessage{ObjectKind::kRollouts, 5, 30, {{"main", 28}}, true, true},
-      StatePieceMessage{ObjectKind::kBackends, 6, 2, 900, std::string("a\0b", 3)}};
+      StatePieceMessage{ObjectKind::kBackends, 6, 2, 900, std::string("a\0b", 3)},
+      StreamsMessage{{{{ServiceName("s"), SoftwareVersion("v1")},
+                       {{Fingerprint(~0ULL), kNow + Millis{700}}, {Fingerprint(4), kNow}}}}}};
+}
+
+/// Encodes a message and decodes it again.
+template <class Message>
+Message RoundTrip(const Message& message) {
+  const auto decoded = DecodeFleetMessages(EncodeFleetMessages({message}, kNow), kHome, kNow);
+  BOOST_REQUIRE(IsOk(decoded));
+  return std::get<Message>(std::get<0>(decoded).at(0));
 }
 
 }  // namespace
@@ -174,6 +188,54 @@
   }
 }
 
+// Guards against a stream that is continued elsewhere because its fields were lost or confused on
+// the way, and against a version that is set for a request that states none.
+BOOST_AUTO_TEST_CASE(StreamFieldsOfRequestsRoundTrip) {
+  const RequestInfo request = RoundTrip(SubmitMessage{SampleRequest()}).request;
+  BOOST_TEST((request.stream_lifetime == Millis{25'000}));
+  BOOST_TEST(request.stream == AttemptId("a0"));
+  BOOST_TEST(request.is_taken_up);
+  BOOST_TEST((request.version == SoftwareVersion("v2")));
+  RequestInfo first;
+  first.id = AttemptId("a1");
+  first.stream = first.id;
+  first.deadline = kNow;
+  first.version = SoftwareVersion();
+  const RequestInfo unnamed = RoundTrip(SubmitMessage{first}).request;
+  BOOST_TEST(unnamed.stream == first.id);
+  BOOST_TEST(!unnamed.is_taken_up);
+  BOOST_TEST((unnamed.stream_lifetime == Millis{0}));
+  BOOST_TEST((unnamed.version == SoftwareVersion()));
+  first.version.reset();
+  BOOST_TEST(!RoundTrip(SubmitMessage{first}).request.version.has_value());
+  GrantedMessage granted{AttemptId("a5"), BackendId("b"), SoftwareVersion("v3")};
+  BOOST_TEST((RoundTrip(granted).version == SoftwareVersion("v3")));
+  granted.version.reset();
+  BOOST_TEST(!RoundTrip(granted).version.has_value());
+}
+
+// Guards against streams that change their origin on the way, and against a faulty sender that has
+// them kept for longer than any caller can take them up.
+BOOST_AUTO_TEST_CASE(StreamsRoundTrip) {
+  const StreamOrigin unnamed{ServiceName("s"), SoftwareVersion()};
+  const StreamOrigin named{ServiceName("s"), SoftwareVersion("v1")};
+  const StreamRecords records =
+      RoundTrip(StreamsMessage{{{named,
+                                 {{Fingerprint(~0ULL), kNow + Millis{700}},
+                                  {Fingerprint(4), kNow - Millis{9}}}},
+                                {unnamed, {{Fingerprint(5), kNow + 2 * kMaxStreamLifetime}}}}})
+          .records;
+  BOOST_REQUIRE(records.size() == 2U);
+  const auto& streams = records.at(named);
+  BOOST_REQUIRE(streams.size() == 2U);
+  BOOST_TEST((streams[0].stream == Fingerprint(~0ULL)));
+  BOOST_TEST((streams[0].until == kNow + Millis{700}));
+  BOOST_TEST((streams[1].until == kNow));
+  BOOST_REQUIRE(records.at(unnamed).size() == 1U);
+  BOOST_TEST((records.at(unnamed)[0].until == kNow + kMaxStreamLifetime));
+  BOOST_TEST(RoundTrip(StreamsMessage{}).records.empty());
+}
+
 // Guards against crashes and out-of-bounds reads on payloads of a faulty sender.
 BOOST_AUTO_TEST_CASE(CorruptPayloadsAreRejected) {
   std::mt19937 random(20261204);
--- a/test/gateway-fleet-frames-test.cc
+++ b/test/gateway-fleet-frames-test.cc
@@ -122,4 +122,35 @@
   }
 }
 
+// Guards against streams that are lost, doubled or change their origin when a message is split.
+BOOST_AUTO_TEST_CASE(LargeStreamListsAreSplit) {
+  const ServiceName service("s");
+  const std::map<StreamOrigin, std::size_t> counts = {{{service, SoftwareVersion("v1")}, 1},
+                                                      {{service, SoftwareVersion("v2")}, 2},
+                                                      {{service, SoftwareVersion("v3")}, 60'001},
+                                                      {{service, SoftwareVersion("v4")}, 140'000}};
+  StreamsMessage message;
+  std::uint64_t next = 0;
+  for (const auto& [origin, count] : counts)
+    for (std::size_t i = 0; i < count; ++i)
+      message.records[origin].push_back({Fingerprint(next++), kNow + Millis{500}});
+  std::map<Fingerprint, StreamOrigin> received;
+  std::size_t frames = 0;
+  std::size_t total = 0;
+  for (const FleetMessage& part : Transmit({message}, 0, &frames)) {
+    for (const auto& [origin, records] : std::get<StreamsMessage>(part).records) {
+      total += records.size();
+      for (const StreamRecord& record : records) received.emplace(record.stream, origin);
+    }
+  }
+  BOOST_TEST(frames > 1U);
+  BOOST_TEST(total == next);
+  BOOST_TEST(received.size() == next);
+  std::size_t misplaced = 0;
+  for (const auto& [origin, records] : message.records)
+    for (const StreamRecord& record : records)
+      if (received[record.stream] != origin) ++misplaced;
+  BOOST_TEST(misplaced == 0U);
+}
+
 }  // namespace bluebellpass::gateway
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -7,6 +7,7 @@
 #include "platform/protocol.h"
 #include "platform/settings-file.h"
 #include "platform/store.h"
+#include "soak/store-standin.h"
 
 namespace bluebellpass::platform {
 namespace {
@@ -67,6 +68,49 @@
     "state":"ready","cold_left_ms":0,"seq":4,"born":1700000000000})");
 }
 
+/// Runs the event loop until a call to the store has ended.
+template <class Value>
+Result<Value> Await(EventLoop& loop,
+                    const std::function<void(std::function<void(Result<Value>)>)>& call) {
+  std::optional<Result<Value>> result;
+  call([&](Result<Value> value) { result = std::move(value); });
+  const TimePoint end = std::chrono::steady_clock::now() + Millis{5'000};
+  while (!result && std::chrono::steady_clock::now() < end) loop.RunOnce(Millis{5});
+  BOOST_REQUIRE(result.has_value());
+  return *result;
+}
+
+/// A store client and what it reads and writes.
+struct EraFixture {
+  EraFixture(EventLoop& event_loop, const Address& address)
+      : loop(event_loop), store(event_loop, address) {
+    store.OnRestored([this] { ++restored_count; });
+  }
+  Result<gateway::ObjectPage> List() {
+    return Await<gateway::ObjectPage>(loop, [&](auto done) {
+      store.List(gateway::ObjectKind::kRollouts, "", gateway::ReadConsistency::kCurrent, done);
+    });
+  }
+  Result<gateway::ObjectPage> Watch(gateway::Revision after) {
+    return Await<gateway::ObjectPage>(loop, [&](auto done) {
+      store.Watch(gateway::ObjectKind::kRollouts, after, Millis{20}, done);
+    });
+  }
+  Result<gateway::Revision> PutStatus(gateway::Revision expected) {
+    return Await<gateway::Revision>(loop, [&](auto done) {
+      store.PutStatus(gateway::ObjectKind::kRollouts, "r", expected, {{"state", "x"}}, done);
+    });
+  }
+  Result<Ok> Delete(gateway::Revision expected) {
+    return Await<Ok>(loop, [&](auto done) {
+      store.Delete(gateway::ObjectKind::kRollouts, "r", expected, done);
+    });
+  }
+  EventLoop& loop;
+  PlatformStore store;
+  int restored_count = 0;
+};
+
 }  // namespace
 
 // Guards against a caller that sets the organisation or other fields reserved for the gateway, and
@@ -449,4 +493,107 @@
   }
 }
 
+// Guards against a stream that is taken up as another one, or as a new one.
+BOOST_AUTO_TEST_CASE(ResumedAttemptIsDecoded) {
+  HttpHead head = MakeCallerHead();
+  const auto decode = [&] {
+    return std::get<gateway::CallerRequest>(kProtocol.DecodeRequest(head));
+  };
+  head.fields.push_back({"Resumes", "r0"});
+  // Without an event the caller has nothing to resume after.
+  BOOST_TEST(!decode().is_resume);
+  BOOST_TEST(decode().resumed_attempt.IsEmpty());
+  head.fields.push_back({"Last-Event-Id", "0"});
+  BOOST_TEST(decode().is_resume);
+  BOOST_TEST(decode().resumed_attempt.Text() == "r0");
+  BOOST_TEST(decode().id.Text() == "r1");
+  std::erase_if(head.fields, [](const HttpField& field) { return field.name == "Resumes"; });
+  BOOST_TEST(decode().is_resume);
+  BOOST_TEST(decode().resumed_attempt.IsEmpty());
+}
+
+// Guards against a backend server that is rejected because its report has no readable number, and
+// against a negative one that becomes the highest.
+BOOST_AUTO_TEST_CASE(ReportNumberIsOptional) {
+  json document = MakeBackendDocument();
+  const auto number = [&] {
+    const auto backend = kProtocol.DecodeBackend("b", document);
+    BOOST_REQUIRE(IsOk(backend));
+    return std::get<gateway::Backend>(backend).report_number;
+  };
+  BOOST_TEST(number() == 4U);
+  for (const json& odd : {json(-1), json("7"), json(nullptr), json(json::array()), json(true)}) {
+    document["seq"] = odd;
+    BOOST_TEST(number() == 0U, odd.dump());
+  }
+  document.erase("seq");
+  BOOST_TEST(number() == 0U);
+}
+
+// Guards against a watch that goes on, or a conditional write that is executed, with a revision
+// that the restored store has given out again.
+BOOST_AUTO_TEST_CASE(RevisionsOfAnEarlierEraAreNotUsed) {
+  EventLoop loop;
+  test::StoreStandin standin(loop, 1);
+  EraFixture client(loop, standin.Listen());
+  standin.Put("rollouts", "r", {{"target", "v1"}});
+  standin.MakeCopy();
+  standin.Put("rollouts", "r", {{"target", "v2"}});
+  const auto before = std::get<gateway::ObjectPage>(client.List());
+  BOOST_TEST((gateway::EraOf(before.revision) == gateway::StoreEra(1)));
+  const gateway::Revision expected = before.objects.at(0).revision;
+  BOOST_TEST(IsOk(client.Watch(before.revision)));
+  standin.Restore();
+  // The number is that of the object now.
+  standin.Put("rollouts", "r", {{"target", "v3"}});
+  BOOST_TEST((ErrorOf(client.Watch(before.revision)).kind == ErrorKind::kNotFound));
+  const std::uint64_t calls = standin.CallCount();
+  BOOST_TEST((ErrorOf(client.PutStatus(expected)).kind == ErrorKind::kConflict));
+  BOOST_TEST((ErrorOf(client.Delete(expected)).kind == ErrorKind::kConflict));
+  BOOST_TEST(standin.CallCount() == calls);
+  const auto after = std::get<gateway::ObjectPage>(client.List());
+  const gateway::Revision current = after.objects.at(0).revision;
+  BOOST_TEST(gateway::NumberOf(current) == gateway::NumberOf(expected));
+  BOOST_TEST((current > before.revision));
+  BOOST_TEST(IsOk(client.Watch(after.revision)));
+  const auto written = client.PutStatus(current);
+  BOOST_REQUIRE(IsOk(written));
+  BOOST_TEST(IsOk(client.Delete(std::get<gateway::Revision>(written))));
+  BOOST_TEST(client.restored_count == 1);
+}
+
+// Guards against a late response of an earlier era that brings lost objects back, and against a
+// restored store that goes unnoticed or is reported again by each response.
+BOOST_AUTO_TEST_CASE(ResponsesOfAnEarlierEraAreDropped) {
+  EventLoop loop;
+  std::vector<HttpField> fields;
+  Http1Server server(loop, {}, [&](const std::shared_ptr<HttpExchange>& call) {
+    call->Send(200, fields, R"({"items":[],"events":[],"has_more":false,"current_rev":3})");
+  });
+  EraFixture client(loop, std::get<Address>(server.Listen({"127.0.0.1", 0})));
+  struct Step {
+    std::string era;
+    std::uint64_t known;  ///< era of the page; 0 for a response that is dropped
+    int restored_count;
+  };
+  for (const Step& step :
+       {Step{"2", 2, 0}, Step{"2", 2, 0}, Step{"1", 0, 0}, Step{"4", 4, 1}, Step{"4", 4, 1},
+        Step{"2", 0, 1}, Step{"", 4, 1}, Step{"x", 4, 1}, Step{"10", 10, 2}, Step{"9", 0, 2}}) {
+    BOOST_TEST_CONTEXT("era " << step.era) {
+      fields.clear();
+      if (!step.era.empty()) fields.push_back({"Store-Era", step.era});
+      const auto page = client.List();
+      BOOST_REQUIRE(IsOk(page) == (step.known != 0));
+      if (step.known == 0) {
+        BOOST_TEST((ErrorOf(page).kind == ErrorKind::kStoreUncertain));
+      } else {
+        BOOST_TEST((std::get<gateway::ObjectPage>(page).revision ==
+                    gateway::MakeRevision(gateway::StoreEra(step.known), 3)));
+      }
+      loop.RunOnce(Millis{0});
+      BOOST_TEST(client.restored_count == step.restored_count);
+    }
+  }
+}
+
 }  // namespace bluebellpass::platform
