Continue streams when only their version is left

While a replaced version continues its streams and no server of the target serves, the whole queue of a service was refused before the version was looked at (LOST). Change: without usable servers, a request stays in the queue if a server of its version may continue its stream.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -485,10 +485,16 @@
                                  TimePoint now, AdmissionControl& admission, Decisions& decisions) {
   Capacity capacity = CapacityOf(service, now, decisions);
   if (!capacity.has_backends) {
-    for (const WaitingRequest* waiting : queue)
+    // Only streams may go on, at a version that gets no other requests.
+    const std::size_t queue_size = queue.size();
+    std::erase_if(queue, [&](const WaitingRequest* waiting) {
+      const auto& version = waiting->request.version;
+      if (version && HasVersion(service, *version, now)) return false;
       Refuse(*waiting, RefusalReason::kNoBackend, kNoBackendRetryAfter,
-             {queue.size(), 0, 0, 0, waiting->size, 1}, decisions);
-    return;
+             {queue_size, 0, 0, 0, waiting->size, 1}, decisions);
+      return true;
+    });
+    if (queue.empty()) return;
   }
   const std::vector<RankedRequest> ranked_queue = RankQueue(queue, capacity, now);
   double queued_ahead_ms = 0;
