Record the versions of all services for the loss of all instances

Found by review. Cause: only services with several versions were recorded, so the record did not show that another one had served. Change: the versions of all services are recorded; the object changes only with them. gateway-streams-test asserted through IsMixed and Mixed; it now compares all versions at the same times, which is as strict.

--- a/src/gateway/gateway-membership.cc
+++ b/src/gateway/gateway-membership.cc
@@ -65,7 +65,7 @@
 
 void Gateway::UpdateVersionRecord() {
   if (m_fleet.ConductsMajority())
-    m_version_record.Update(m_coordinator.Versions().Mixed(m_loop.Now()));
+    m_version_record.Update(m_coordinator.Versions().All(m_loop.Now()));
 }
 
 void Gateway::OnStoreRestored() {
--- a/src/gateway/streams/service-versions.cc
+++ b/src/gateway/streams/service-versions.cc
@@ -1,6 +1,7 @@
 #include "service-versions.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bluebellpass::gateway {
 namespace {
@@ -67,18 +68,12 @@
   return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-bool ServiceVersions::IsMixed(const ServiceName& service, TimePoint now) const {
-  const auto found = m_services.find(service);
-  return found != m_services.end() && VersionsOf(found->second, now).size() > 1;
-}
-
-VersionsByService ServiceVersions::Mixed(TimePoint now) const {
-  VersionsByService mixed;
-  for (const auto& [service, versions] : m_services) {
-    std::set<SoftwareVersion> all = VersionsOf(versions, now);
-    if (all.size() > 1) mixed.emplace(service, std::move(all));
-  }
-  return mixed;
+VersionsByService ServiceVersions::All(TimePoint now) const {
+  VersionsByService all;
+  for (const auto& [service, versions] : m_services)
+    if (auto names = VersionsOf(versions, now); !names.empty())
+      all.emplace(service, std::move(names));
+  return all;
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/streams/service-versions.h
+++ b/src/gateway/streams/service-versions.h
@@ -28,9 +28,7 @@
   /// @return the only version that a stream of the service can be of, or nullopt if there are
   /// several, or one may have come that this instance does not know yet
   std::optional<SoftwareVersion> OnlyVersion(const ServiceName& service, TimePoint now) const;
-  /// @return services of which streams of several versions may be taken up
-  VersionsByService Mixed(TimePoint now) const;
-  bool IsMixed(const ServiceName& service, TimePoint now) const;
+  VersionsByService All(TimePoint now) const;
 
  private:
   struct Versions {
--- a/src/gateway/streams/version-record.h
+++ b/src/gateway/streams/version-record.h
@@ -11,11 +11,11 @@
 
 namespace bluebellpass::gateway {
 
-/// Name of the object of ObjectKind::kFleet with the versions of services that have several.
+/// Name of the object of ObjectKind::kFleet with the versions of all services.
 inline constexpr char kVersionRecordObject[] = "stream-versions";
 
-/// Keeps the versions of services that have several in the store, so that instances know of
-/// versions that left while all of them were down. Written by the coordinator only.
+/// Keeps the versions of all services in the store, so that instances know of versions that left
+/// while all of them were down. Written by the coordinator only.
 class VersionRecord {
  public:
   VersionRecord(TimerService& timers, StoreClient& store);
--- a/test/gateway-stream-version-test.cc
+++ b/test/gateway-stream-version-test.cc
@@ -227,6 +227,19 @@
   TakeUp(streams, 2);
 }
 
+// Guards against the same when another version comes and the first one leaves meanwhile.
+BOOST_FIXTURE_TEST_CASE(StreamsAreNotJoinedAfterTheVersionIsReplaced, Fixture) {
+  AddEngine("old", "1");
+  StartGateways();
+  auto streams = BeginStreams(1);
+  for (std::size_t i = 0; i < gateways.size(); ++i) KillGateway(i);
+  Disconnect(streams);
+  store.Delete(names::kBackendKind, "old");
+  AddEngine("new", "2");
+  StartGateways();
+  TakeUp(streams, 2);
+}
+
 // Guards against streams that are lost with all instances though there is only one version.
 BOOST_FIXTURE_TEST_CASE(StreamsOfOneVersionOutliveAllInstances, Fixture) {
   for (const char* id : {"e0", "e1"}) AddEngine(id, "1");
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -55,6 +55,7 @@
 }
 
 VersionsByService BothVersions() { return {{kService, {kOld, kNew}}}; }
+VersionsByService Only(const SoftwareVersion& version) { return {{kService, {version}}}; }
 
 /// Keeps the writes, which the test completes.
 class RecordingStore : public FakeStoreClient {
@@ -277,17 +278,15 @@
 BOOST_AUTO_TEST_CASE(VersionThatLeftCountsForALifetime) {
   ServiceVersions versions;
   versions.SetBackend(MakeBackend("a", kOld), kStart);
-  BOOST_TEST(!versions.IsMixed(kService, kStart));
+  BOOST_TEST((versions.All(kStart) == Only(kOld)));
   const TimePoint left = kStart + Millis{10'000};
   versions.SetBackend(MakeBackend("a", kNew), left);
   versions.SetBackend(MakeBackend("a", kNew), left + Millis{1'000});
   const TimePoint end = left + kMaxStreamLifetime;
   versions.SetConfirmed(end);
-  BOOST_TEST(versions.IsMixed(kService, end - kInstant));
-  BOOST_TEST((versions.Mixed(end - kInstant) == BothVersions()));
+  BOOST_TEST((versions.All(end - kInstant) == BothVersions()));
   BOOST_TEST(!versions.OnlyVersion(kService, end - kInstant).has_value());
-  BOOST_TEST(!versions.IsMixed(kService, end));
-  BOOST_TEST(versions.Mixed(end).empty());
+  BOOST_TEST((versions.All(end) == Only(kNew)));
   BOOST_TEST((versions.OnlyVersion(kService, end) == kNew));
   versions.RemoveBackend(BackendId("a"), end);
   versions.RemoveBackend(BackendId("a"), end + Millis{5'000});
@@ -301,10 +300,10 @@
   ServiceVersions versions;
   versions.SetBackend(MakeBackend("a", kNew), kStart);
   versions.AddRecorded({{kService, {kOld, kNew}}}, kStart);
-  BOOST_TEST((versions.Mixed(kStart) == BothVersions()));
+  BOOST_TEST((versions.All(kStart) == BothVersions()));
   versions.AddRecorded({{kService, {kOld}}}, kStart - Millis{5'000});
-  BOOST_TEST(versions.IsMixed(kService, kStart + kMaxStreamLifetime - kInstant));
-  BOOST_TEST(!versions.IsMixed(kService, kStart + kMaxStreamLifetime));
+  BOOST_TEST((versions.All(kStart + kMaxStreamLifetime - kInstant) == BothVersions()));
+  BOOST_TEST((versions.All(kStart + kMaxStreamLifetime) == Only(kNew)));
   Backend moved = MakeBackend("a", kOld);
   moved.service = ServiceName("desk");
   const TimePoint later = kStart + kMaxStreamLifetime;
