Write the end of a roll-out again when the store has lost it

Cause: found by review. A restored order without a status left the final status of memory in place, so it counted as stored. Change: a newer entry without a status forgets what was stored. Before and after: rollout-test, LostFinalStatusIsWrittenAgain, passes now; it was not run on the code before, on which by reading it fails. The other cases pass.

--- a/src/gateway/rollout/service-rollout.cc
+++ b/src/gateway/rollout/service-rollout.cc
@@ -98,7 +98,13 @@
   m_order.deadline = entry.order.deadline;
   const bool is_newer = entry.revision > m_revision;
   m_revision = entry.revision;
-  if (!entry.status) return;
+  if (!entry.status) {
+    // The store has come back from a copy without it.
+    if (!is_newer) return;
+    m_stored.reset();
+    m_writing.reset();
+    return;
+  }
   ApplyStored(*entry.status, now);
   // The object has changed, so a write with the earlier revision either is this change or fails.
   if (is_newer) m_writing.reset();
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -425,6 +425,24 @@
   BOOST_TEST(TakeExposure("stored"));
 }
 
+// Guards against the end of an order that the operator never sees, because the store has come back
+// from a copy without the status.
+BOOST_FIXTURE_TEST_CASE(LostFinalStatusIsWrittenAgain, ControllerFixture) {
+  Order();
+  AddTarget();
+  entry.status = RolloutStatus{
+      kTarget, RolloutState::kDone, RolloutPhase::kSwitching, Millis{9'000}, 0, 0, ""};
+  entry.revision = gateway::Revision(50);
+  Order();
+  entry.status.reset();
+  entry.revision = gateway::MakeRevision(gateway::StoreEra(2), 5);
+  Order();
+  Advance(Millis{1'000});
+  Store();
+  BOOST_REQUIRE(entry.status.has_value());
+  BOOST_TEST((entry.status->state == RolloutState::kDone));
+}
+
 // Guards against `done` while runs at old backend servers could still end in time.
 BOOST_FIXTURE_TEST_CASE(DoneWaitsForOldRuns, ControllerFixture) {
   Order();
