Use an outdated entry of a backend server that stays in the store

Cause: found by review. If a live server's entry does not change after a restore, because only the number of its report differs, it was ignored for good. Change: an entry that the store still has after 6 s is used; the store removes those of lost servers before.

--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -4,6 +4,12 @@
 /// What an instance does with the registrations of backend servers.
 
 namespace bluebellpass::gateway {
+namespace {
+
+// The store removes the entry of a server that has not reported for less time than this.
+constexpr Millis kOutdatedEntryTime{6'000};
+
+}  // namespace
 
 void Gateway::UpdateSchedulerBackends() {
   const auto& table = m_routing_state.Table();
@@ -28,6 +34,30 @@
   m_fleet.ScheduleDecision();
 }
 
+void Gateway::SetBackend(const Backend& backend, Revision revision) {
+  m_backend_reports.Record(backend, revision);
+  // The initial list of a large fleet would flood the log.
+  if (m_has_listed_backends)
+    LogEvent(EventId::kBackendChanged, {{"backend", backend.id.Text()},
+                                        {"address", backend.address.Text()},
+                                        {"service", backend.service.Text()},
+                                        {"state", backend.is_draining ? "draining" : "ready"},
+                                        {"revision", static_cast<std::int64_t>(revision.Value())}});
+  m_routing_state.SetBackend(backend);
+  SetSchedulerBackend(backend);
+}
+
+void Gateway::UseRemainingEntry(const StoredObject& object) {
+  const auto& revisions = m_backend_watch->ObjectRevisions();
+  const auto found = revisions.find(object.name);
+  if (found == revisions.end() || found->second != object.revision) return;
+  Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
+  if (!IsOk(backend)) return;
+  std::get<Backend>(backend).revision = object.revision.Value();
+  SetBackend(std::get<Backend>(backend), object.revision);
+  m_fleet.ScheduleDecision();
+}
+
 void Gateway::OnBackendObject(const StoredObject& object) {
   const BackendId id(object.name);
   if (!object.is_deleted && object.spec) {
@@ -35,23 +65,14 @@
     if (IsOk(backend)) {
       Backend& changed = std::get<Backend>(backend);
       changed.revision = object.revision.Value();
-      if (m_backend_reports.IsOutdated(changed, object.revision))
-        return LogEvent(EventId::kChangeIgnored,
-                        {{"kind", std::string(NameOf(ObjectKind::kBackends))},
-                         {"object", object.name},
-                         {"version", static_cast<std::int64_t>(changed.report_number)},
-                         {"reason", "report"}});
-      m_backend_reports.Record(changed, object.revision);
-      // The initial list of a large fleet would flood the log.
-      if (m_has_listed_backends)
-        LogEvent(EventId::kBackendChanged,
-                 {{"backend", object.name},
-                  {"address", changed.address.Text()},
-                  {"service", changed.service.Text()},
-                  {"state", changed.is_draining ? "draining" : "ready"},
-                  {"revision", static_cast<std::int64_t>(object.revision.Value())}});
-      m_routing_state.SetBackend(changed);
-      return SetSchedulerBackend(changed);
+      if (!m_backend_reports.IsOutdated(changed, object.revision))
+        return SetBackend(changed, object.revision);
+      m_loop.RunAfter(kOutdatedEntryTime, [this, object] { UseRemainingEntry(object); });
+      return LogEvent(EventId::kChangeIgnored,
+                      {{"kind", std::string(NameOf(ObjectKind::kBackends))},
+                       {"object", object.name},
+                       {"version", static_cast<std::int64_t>(changed.report_number)},
+                       {"reason", "report"}});
     }
     LogEvent(EventId::kObjectRejected,
              {{"object", object.name}, {"reason", ErrorOf(backend).message}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,9 @@
   void OnConfigObject(const StoredObject& object);
   void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
+  /// Uses an entry that was outdated if the store still has it: those of lost servers expire.
+  void UseRemainingEntry(const StoredObject& object);
+  void SetBackend(const Backend& backend, Revision revision);
   /// Reads the keys of links and the versions that may have begun streams.
   void ReadFleetObjects();
   /// Adopts the keys of links, or creates them if the store has none.
