Stop writing the record of versions after the role has moved

Cause: found by review. A failed write was repeated after another instance had become the coordinator, over its record. Change: a reset stops the retry and ignores writes that began before it. Measured: gateway-streams-test passes. No test failed before.

--- a/src/gateway/streams/version-record.cc
+++ b/src/gateway/streams/version-record.cc
@@ -42,10 +42,18 @@
   Write();
 }
 
+void VersionRecord::Reset() {
+  ++m_reset_count;
+  m_task.Stop();
+  m_is_writing = false;
+  m_stored.reset();
+}
+
 void VersionRecord::Write() {
   m_store.Put(ObjectKind::kFleet, kVersionRecordObject, Encode(m_wanted),
-              [this, alive = m_alive, written = m_wanted](const Result<Revision>& result) {
-                if (!*alive) return;
+              [this, alive = m_alive, written = m_wanted,
+               reset_count = m_reset_count](const Result<Revision>& result) {
+                if (!*alive || reset_count != m_reset_count) return;
                 if (!IsOk(result)) {
                   LogEvent(EventId::kObjectRejected,
                            {{"object", kVersionRecordObject}, {"reason", ErrorOf(result).message}});
--- a/src/gateway/streams/version-record.h
+++ b/src/gateway/streams/version-record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -28,7 +29,7 @@
   /// Writes the versions unless the store has them. Must be called several times per second.
   void Update(const VersionsByService& versions);
   /// Forgets what the store has, after another instance may have written it or it was lost.
-  void Reset() { m_stored.reset(); }
+  void Reset();
 
  private:
   void Write();
@@ -38,6 +39,7 @@
   VersionsByService m_wanted;
   std::optional<VersionsByService> m_stored;
   bool m_is_writing = false;
+  std::uint64_t m_reset_count = 0;  ///< writes of before a reset show nothing
   /// False after destruction; callbacks check it before they use this object.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
