Leave the version of a stream that is taken up to the coordinator

Cause: found by review. A follower's guess from its own view, which may lag, came before the coordinator's record (ORDER); a former coordinator kept its records against those of the next one; with a coordinator of an older build every stream that was taken up was refused; expired records were removed on the coordinator only.

--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -226,7 +226,6 @@
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   decisions.crashes = std::move(crashes);
-  m_streams.RemoveExpired(now);
   for (const Grant& grant : decisions.grants)
     RecordStream(*m_scheduler.FindRunning(grant.id), grant.backend);
   for (const Refusal& refusal : decisions.refusals)
--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -161,7 +161,7 @@
       if (follower == m_followers.end() || !KnowsStreams(follower->second)) continue;
       keepers.insert(member->id);
       if (!m_stream_keepers.contains(member->id))
-        SendStreams(follower->second, m_coordinator.Streams().Snapshot(false, m_loop.Now()));
+        SendStreams(follower->second, m_coordinator.Streams().Snapshot(m_loop.Now()));
       if (keepers.size() == kStreamKeepers) break;
     }
   }
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -233,6 +233,7 @@
   if (m_has_lost_store && m_relay->HasStoreContact()) SetLostStore(false);
   RemoveAbsentMembers(now);
   UpdateStreamKeepers();
+  m_coordinator.Streams().RemoveExpired(now);
   ElectCoordinator();
 }
 
@@ -444,8 +445,7 @@
   if (peer.features == features) return;
   peer.features = features;
   const bool is_coordinator = m_coordinator_peer && &peer == &*m_coordinator_peer;
-  // It has kept what the former coordinator decided, but not what this instance did.
-  if (is_coordinator) SendStreams(peer, m_coordinator.Streams().Snapshot(true, m_loop.Now()));
+  if (is_coordinator) SendStreams(peer, m_coordinator.Streams().HandOver(m_loop.Now()));
   SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
 }
 
@@ -461,8 +461,9 @@
 
 void Fleet::Submit(RequestInfo request, DispatchListener* listener) {
   request.home = m_options.id;
-  // The coordinator may be of a build that does not know where streams began.
-  if (request.is_taken_up && !request.version)
+  // A coordinator of an older build does not know where streams began; others know it better.
+  const bool is_left_alone = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
+  if (request.is_taken_up && !request.version && is_left_alone)
     request.version = m_coordinator.FindStreamVersion(request, m_loop.Now());
   m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
@@ -526,8 +527,9 @@
   request.granted_at = m_loop.Now();
   m_coordinator.RememberGrant(request.info, request.granted_at);
   request.is_prefilling = true;
-  request.info.version = version;
-  std::exchange(request.listener, nullptr)->OnGrant(backend, version);
+  // A coordinator of an older build does not repeat it.
+  if (version) request.info.version = version;
+  std::exchange(request.listener, nullptr)->OnGrant(backend, request.info.version);
 }
 
 void Fleet::DeliverRefusal(const AttemptId& id, RefusalReason reason, Millis retry_after) {
--- a/src/gateway/streams/stream-origins.cc
+++ b/src/gateway/streams/stream-origins.cc
@@ -1,5 +1,7 @@
 #include "stream-origins.h"
 
+#include <algorithm>
+
 namespace bluebellpass::gateway {
 namespace {
 
@@ -32,14 +34,21 @@
   return found->second.origin;
 }
 
-StreamRecords StreamOrigins::Snapshot(bool only_own, TimePoint now) const {
+StreamRecords StreamOrigins::Snapshot(TimePoint now) const {
   StreamRecords records;
   for (const auto& [key, entry] : m_streams)
-    if (entry.until > now && (entry.is_own || !only_own))
-      records[entry.origin].push_back({key, entry.until});
+    if (entry.until > now) records[entry.origin].push_back({key, entry.until});
   return records;
 }
 
+StreamRecords StreamOrigins::HandOver(TimePoint now) {
+  const bool has_decided = std::any_of(m_streams.begin(), m_streams.end(),
+                                       [](const auto& entry) { return entry.second.is_own; });
+  if (!has_decided) return {};
+  for (auto& [key, entry] : m_streams) entry.is_own = false;
+  return Snapshot(now);
+}
+
 void StreamOrigins::RemoveExpired(TimePoint now) {
   if (now < m_next_removal) return;
   m_next_removal = now + kRemovalPeriod;
--- a/src/gateway/streams/stream-origins.h
+++ b/src/gateway/streams/stream-origins.h
@@ -40,14 +40,17 @@
   /// Records what this instance has decided. A later record replaces an earlier one: a stream that
   /// has begun is continued at its origin only.
   void Record(const AttemptId& stream, const StreamOrigin& origin, TimePoint until);
-  /// Adds what another instance has decided. Does not replace what this one has.
+  /// Adds what another instance has decided. Does not replace what this one has decided since
+  /// HandOver.
   void Merge(const StreamRecords& records);
   /// @return the origin of a stream, or nullopt if it is unknown
   std::optional<StreamOrigin> Find(const AttemptId& stream, TimePoint now) const;
   /// @return what was recorded since the last call
   StreamRecords TakeChanges() { return std::exchange(m_changes, {}); }
-  /// @param only_own without what was merged
-  StreamRecords Snapshot(bool only_own, TimePoint now) const;
+  StreamRecords Snapshot(TimePoint now) const;
+  /// @return all records for the next coordinator, whose decisions replace those of this instance,
+  /// or none if this instance has decided nothing
+  StreamRecords HandOver(TimePoint now);
   /// Must be called now and then.
   void RemoveExpired(TimePoint now);
   std::size_t Size() const { return m_streams.size(); }
