--- a/src/gateway/fleet/relay.cc
+++ b/src/gateway/fleet/relay.cc
@@ -302,10 +302,11 @@
   channel.watch->ApplyTransfer(objects, revision);
   // The age is counted from the sending of the request, as that of a confirmation.
   channel.watch->Confirm(revision, transfer.requested_at + Millis(-content.age.count()));
-  LogEvent(EventId::kStateReceived, {{"kind", std::string(NameOf(channel.kind))},
-                                     {"revision", static_cast<std::int64_t>(content.revision)},
-                                     {"objects", static_cast<std::int64_t>(objects.size())},
-                                     {"age_ms", content.age.count()}});
+  LogEvent(EventId::kStateReceived,
+           {{"kind", std::string(NameOf(channel.kind))},
+            {"revision", static_cast<std::int64_t>(NumberOf(Revision(content.revision)))},
+            {"objects", static_cast<std::int64_t>(objects.size())},
+            {"age_ms", content.age.count()}});
 }
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -30,7 +30,7 @@
   if (!std::exchange(m_has_listed_backends, true))
     LogEvent(EventId::kBackendsListed,
              {{"count", static_cast<std::int64_t>(m_routing_state.Backends().size())},
-              {"revision", static_cast<std::int64_t>(m_backend_watch->SeenRevision().Value())}});
+              {"revision", static_cast<std::int64_t>(NumberOf(m_backend_watch->SeenRevision()))}});
   m_fleet.ScheduleDecision();
 }
 
@@ -38,11 +38,12 @@
   m_backend_reports.Record(backend, revision);
   // The initial list of a large fleet would flood the log.
   if (m_has_listed_backends)
-    LogEvent(EventId::kBackendChanged, {{"backend", backend.id.Text()},
-                                        {"address", backend.address.Text()},
-                                        {"service", backend.service.Text()},
-                                        {"state", backend.is_draining ? "draining" : "ready"},
-                                        {"revision", static_cast<std::int64_t>(revision.Value())}});
+    LogEvent(EventId::kBackendChanged,
+             {{"backend", backend.id.Text()},
+              {"address", backend.address.Text()},
+              {"service", backend.service.Text()},
+              {"state", backend.is_draining ? "draining" : "ready"},
+              {"revision", static_cast<std::int64_t>(NumberOf(revision))}});
   m_routing_state.SetBackend(backend);
   SetSchedulerBackend(backend);
 }
@@ -82,7 +83,7 @@
   LogEvent(EventId::kBackendChanged,
            {{"backend", object.name},
             {"state", "gone"},
-            {"revision", static_cast<std::int64_t>(object.revision.Value())}});
+            {"revision", static_cast<std::int64_t>(NumberOf(object.revision))}});
   m_routing_state.RemoveBackend(id);
   m_coordinator.RequestScheduler().RemoveBackend(id);
   m_coordinator.Rollouts().RemoveBackend(id, m_loop.Now());
--- a/src/gateway/gateway-membership.cc
+++ b/src/gateway/gateway-membership.cc
@@ -171,7 +171,7 @@
   m_is_registered = true;
   m_registration_revision = revision;
   m_fleet.SetRegistration(revision.Value());
-  LogEvent(EventId::kRegistered, {{"revision", static_cast<std::int64_t>(revision.Value())}});
+  LogEvent(EventId::kRegistered, {{"revision", static_cast<std::int64_t>(NumberOf(revision))}});
   ListInstances("", true);
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -352,7 +352,7 @@
   LogEvent(EventId::kConfigApplied,
            {{"version", static_cast<std::int64_t>(version.Value())},
             {"source", "store"},
-            {"revision", static_cast<std::int64_t>(object.revision.Value())}});
+            {"revision", static_cast<std::int64_t>(NumberOf(object.revision))}});
   m_coordinator.SetRoutingTable(m_routing_state.Table());
   UpdateSchedulerBackends();
 }
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -137,8 +137,8 @@
   LogEvent(EventId::kChangeIgnored,
            {{"kind", std::string(NameOf(m_kind))},
             {"object", object.name},
-            {"version", static_cast<std::int64_t>(object.revision.Value())},
-            {"known", static_cast<std::int64_t>(known.Value())},
+            {"version", static_cast<std::int64_t>(NumberOf(object.revision))},
+            {"known", static_cast<std::int64_t>(NumberOf(known))},
             {"reason", "revision"}});
 }
 
