--- a/test/soak/engine-standin.cc
+++ b/test/soak/engine-standin.cc
@@ -8,6 +8,7 @@
 namespace names = platform::names;
 
 constexpr Millis kEventGap{20};
+constexpr std::string_view kStreamParameter = "?stream=";
 
 }  // namespace
 
@@ -21,13 +22,18 @@
           loop, Http1Limits{},
           [this](const std::shared_ptr<HttpExchange>& exchange) { Handle(exchange); })) {}
 
-int EngineStandin::EventCountOf(const std::string& request_id) {
-  return 3 + static_cast<int>(StableHash(request_id) % 20);
+std::string EngineStandin::TargetOf(const std::string& path, const std::string& stream_id) {
+  return path + std::string(kStreamParameter) + stream_id;
 }
 
-std::string EngineStandin::EventText(const std::string& request_id, int number) {
-  return "id: " + std::to_string(number) + "\ndata: " + request_id + " part " +
-         std::to_string(number) + "\n\n";
+int EngineStandin::EventCountOf(const std::string& stream_id) {
+  return 3 + static_cast<int>(StableHash(stream_id) % 20);
+}
+
+std::string EngineStandin::EventText(const std::string& stream_id, int number,
+                                     const std::string& version) {
+  return "id: " + std::to_string(number) + "\ndata: " + stream_id + " part " +
+         std::to_string(number) + (version.empty() ? "" : " of " + version) + "\n\n";
 }
 
 void EngineStandin::Restart(std::string id) {
@@ -46,7 +52,7 @@
   if (static_cast<int>(m_open_exchanges.size()) >= m_slots)
     return exchange->Send(503, {{names::kNotRun, "1"}, {names::kAttempt, request_id}}, "");
   m_on_run({request_id, m_id, head.Value(names::kOrganisation), head.Value(names::kApiKey),
-            head.target, m_loop.Now(), head.Value(names::kLastEventId)});
+            head.target, m_loop.Now(), head.Value(names::kLastEventId), m_version});
   m_open_exchanges.insert(exchange);
   const std::vector<HttpField> fields = {{names::kAttempt, request_id},
                                          {names::kSignature, SignatureOf(m_id, request_id)}};
@@ -61,7 +67,12 @@
     auto stream_fields = fields;
     stream_fields.push_back({"Content-Type", "text/event-stream"});
     exchange->Start(200, stream_fields);
-    return SendEvents(exchange, request_id, first);
+    const std::size_t parameter = head.target.find(kStreamParameter);
+    return SendEvents(exchange,
+                      parameter == std::string::npos
+                          ? request_id
+                          : head.target.substr(parameter + kStreamParameter.size()),
+                      m_version, first);
   }
   m_loop.RunAfter(m_response_delay, [this, exchange, fields, request_id] {
     exchange->Send(200, fields, ResponseBodyOf(request_id));
@@ -70,19 +81,20 @@
 }
 
 void EngineStandin::SendEvents(const std::shared_ptr<HttpExchange>& exchange,
-                               const std::string& request_id, int number) {
+                               const std::string& stream_id, const std::string& version,
+                               int number) {
   if (!exchange->IsOpen()) {
     m_open_exchanges.erase(exchange);
     return;
   }
-  if (number > EventCountOf(request_id)) {
+  if (number > EventCountOf(stream_id)) {
     exchange->End();
     m_open_exchanges.erase(exchange);
     return;
   }
-  exchange->Write(EventText(request_id, number));
-  m_loop.RunAfter(kEventGap, [this, exchange, request_id, number] {
-    SendEvents(exchange, request_id, number + 1);
+  exchange->Write(EventText(stream_id, number, version));
+  m_loop.RunAfter(kEventGap, [this, exchange, stream_id, version, number] {
+    SendEvents(exchange, stream_id, version, number + 1);
   });
 }
 
--- a/test/soak/engine-standin.h
+++ b/test/soak/engine-standin.h
@@ -21,6 +21,7 @@
   std::string target;
   TimePoint started;
   std::string last_event_id;  ///< after which the stream goes on; empty if it begins
+  std::string version;        ///< of the engine's software
 };
 
 /// Stand-in for the platform's backend servers, which serve calls and event streams.
@@ -34,6 +35,9 @@
   /// Simulates a crash and restart: aborts the running requests and changes the id. The address
   /// stays the same.
   void Restart(std::string id);
+  /// Sets the software version, which the events of subsequent streams state.
+  void SetVersion(std::string version) { m_version = std::move(version); }
+  const std::string& Version() const { return m_version; }
   /// Sets the response time of subsequent calls that are not streams.
   void SetResponseDelay(Millis delay) { m_response_delay = delay; }
   /// Sets the percentage of requests that fail after they have started to run.
@@ -43,20 +47,25 @@
   static std::string ResponseBodyOf(const std::string& request_id) {
     return "answer to " + request_id;
   }
-  /// @return number of events in the response stream of a request
-  static int EventCountOf(const std::string& request_id);
-  static std::string EventText(const std::string& request_id, int number);
+  /// @return the target of a request for a stream that may take several attempts
+  static std::string TargetOf(const std::string& path, const std::string& stream_id);
+  /// @param stream_id the id in the target, or the id of the request without one
+  /// @return number of events in a response stream
+  static int EventCountOf(const std::string& stream_id);
+  static std::string EventText(const std::string& stream_id, int number,
+                               const std::string& version = "");
   static std::string SignatureOf(const std::string& engine, const std::string& request_id) {
     return engine + "." + request_id;
   }
 
  private:
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
-  void SendEvents(const std::shared_ptr<HttpExchange>& exchange, const std::string& request_id,
-                  int number);
+  void SendEvents(const std::shared_ptr<HttpExchange>& exchange, const std::string& stream_id,
+                  const std::string& version, int number);
 
   EventLoop& m_loop;
   std::string m_id;
+  std::string m_version;
   int m_slots;
   std::function<void(const SoakRun&)> m_on_run;
   std::unique_ptr<Http1Server> m_server;
