Ask for changed routes and drain engines for longer in the soak

Change: three quarters of the idempotent requests ask for such routes; engines drain for up to 6 s; a draining engine must get nothing after 2 s and the time that the store was disturbed, which is stricter than before; both versions are present from the start.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -36,8 +36,8 @@
 constexpr Millis kDrainBound{2'000};
 constexpr Millis kTakeUpPeriod{10'000};
 constexpr int kMaxStreamAttempts = 10;
-// Number of newest routes that requests are sent to, some of which are removed.
-constexpr int kRoutesAsked = 5;
+// Number of newest routes that requests are sent to; the last one is removed.
+constexpr int kRoutesAsked = 4;
 
 // By RequestType.
 constexpr const char* kPaths[] = {"/stream/x", "/dossier/x", "/book/x", "/look/x"};
@@ -147,7 +147,7 @@
     const Address store = m_store.Listen();
     m_config.Change(m_loop.Now());
     for (int i = 0; i < m_options.engines + m_options.service_backends; ++i) {
-      m_engines.Add(i < m_options.engines ? "chat" : "desk", kEngineVersions[RandomBelow(2)],
+      m_engines.Add(i < m_options.engines ? "chat" : "desk", kEngineVersions[i % 2],
                     [this](const SoakRun& run) { CheckRun(run); });
     }
     for (int i = 0; i < m_options.gateways; ++i) {
@@ -248,8 +248,9 @@
         removed && request.sent > *removed + ChangeBoundOf(request, *removed))
       AddViolation("CONFIG: ran on the removed route " + request.path + ": " + run.request_id);
     const auto draining = m_engines.DrainingSince(run.engine);
-    if (draining && run.started > *draining + kDrainBound &&
-        !m_store_disturbances.IsAnyBetween(*draining, run.started) &&
+    if (draining &&
+        run.started >
+            *draining + kDrainBound + m_store_disturbances.TimeBetween(*draining, run.started) &&
         !m_engines.IsNetworkDisturbed(run.engine, *draining, run.started))
       AddViolation("DRAIN: " + run.request_id + " at " + run.engine + ", " +
                    std::to_string(MillisBetween(*draining, run.started)) + " ms, by " +
@@ -271,7 +272,7 @@
     const std::string id = NextRequestId();
     request.type = type;
     request.path = kPaths[static_cast<int>(type)];
-    if (type == RequestType::kIdempotent && RandomBelow(2) == 0)
+    if (type == RequestType::kIdempotent && RandomBelow(4) != 0)
       request.path = SoakConfig::PathOf(
           m_is_after_recovery ? m_config.Version()
                               : std::max(1, m_config.Version() - RandomBelow(kRoutesAsked)));
@@ -533,7 +534,7 @@
 
   void ReplaceEngine(EngineNode& node, const std::string& version) {
     if (!m_engines.Drain(node)) return;
-    ScheduleFaultEnd(2'200, 4'500, [this, &node, version, id = node.engine->Id()] {
+    ScheduleFaultEnd(2'500, 6'000, [this, &node, version, id = node.engine->Id()] {
       if (node.engine->Id() != id) return;
       RecordFault("replace engine " + id + " by version " + version);
       m_engines.Restart(node, NextEngineId(), version);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -43,7 +43,8 @@
 /// - requests with an API key do not run once its revocation is longer ago than the bound,
 /// - routes are served, and removed ones are not, once the change is longer ago than the bound and
 ///   the time that the store was disturbed,
-/// - draining backend servers get no requests after the bound if the store was not disturbed,
+/// - draining backend servers get no requests after the bound and the time that the store was
+///   disturbed,
 /// - the system recovers after the faults.
 SoakReport RunSoak(const SoakOptions& options);
 
