Record where a stream began only at its first event

Cause: the origin was recorded with the grant. A coordinator that was paused granted a request that had run elsewhere meanwhile, took that for the beginning of the stream, and used it before the others had handed their records over. Change: the origin is recorded with the first event, which only the home that runs the request reports, or with its report to a new coordinator. Without it, such a stream is refused while several versions serve.

--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -89,6 +89,12 @@
                    request.arrived + std::min(request.stream_lifetime, kMaxStreamLifetime));
 }
 
+void Coordinator::RecordFirstEvent(const AttemptId& id, Millis time_to_first_event, TimePoint now) {
+  m_scheduler.RecordFirstEvent(id, time_to_first_event, now);
+  if (const RequestInfo* request = m_scheduler.FindRunning(id))
+    RecordStream(*request, *m_scheduler.BackendOf(id));
+}
+
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
   if (request.is_taken_up && !request.version) {
     request.version = FindStreamVersion(request, now);
@@ -197,7 +203,7 @@
   RemoveHome(home);
   for (const RunningRequest& run : running) {
     m_scheduler.AdoptRun(run.request, run.backend, run.is_prefilling, now);
-    RecordStream(run.request, run.backend);
+    if (!run.is_prefilling) RecordStream(run.request, run.backend);
   }
   for (RequestInfo& request : waiting) {
     if (request.is_taken_up && !request.version) {
@@ -226,8 +232,6 @@
   EnqueueDelayed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   decisions.crashes = std::move(crashes);
-  for (const Grant& grant : decisions.grants)
-    RecordStream(*m_scheduler.FindRunning(grant.id), grant.backend);
   for (const Refusal& refusal : decisions.refusals)
     if (refusal.quota_cost > 0)
       m_quota.ReleaseReservation(refusal.organisation, refusal.quota_cost);
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -82,6 +82,11 @@
   /// it is unknown
   std::optional<SoftwareVersion> FindStreamVersion(const RequestInfo& request, TimePoint now) const;
 
+  /// Records the first event of a run, after which its stream belongs to the version of its backend
+  /// server. A grant alone shows nothing: its home may have had one of another coordinator.
+  /// @param time_to_first_event from dispatch
+  void RecordFirstEvent(const AttemptId& id, Millis time_to_first_event, TimePoint now);
+
   /// Records that a connection to a backend server could not be established.
   void OnBackendUnreachable(const BackendId& id, TimePoint now);
   /// Replaces all waiting and running requests of an instance.
@@ -112,7 +117,7 @@
   void ReleaseReservation(const RequestInfo& request);
   void EnqueueDelayed(TimePoint now);
   void DecideRollouts(TimePoint now);
-  /// Records the version of the backend server that a stream is granted to.
+  /// Records the version of the backend server that has begun a stream.
   void RecordStream(const RequestInfo& request, const BackendId& backend);
 
   std::shared_ptr<const RoutingTable> m_table;
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -350,7 +350,7 @@
   } else if (const auto* withdraw = std::get_if<WithdrawMessage>(&message)) {
     m_coordinator.Withdraw(withdraw->id);
   } else if (const auto* event = std::get_if<FirstEventMessage>(&message)) {
-    m_coordinator.RequestScheduler().RecordFirstEvent(event->id, event->time_to_first_event, now);
+    m_coordinator.RecordFirstEvent(event->id, event->time_to_first_event, now);
   } else if (const auto* release = std::get_if<ReleaseRunMessage>(&message)) {
     m_coordinator.ReleaseRun(release->id, release->report, now);
   } else if (const auto* avoid = std::get_if<AvoidBackendMessage>(&message)) {
@@ -501,7 +501,7 @@
   const auto found = m_requests.find(id);
   if (found != m_requests.end()) found->second.is_prefilling = false;
   if (IsCoordinator()) {
-    m_coordinator.RequestScheduler().RecordFirstEvent(id, time_to_first_event, m_loop.Now());
+    m_coordinator.RecordFirstEvent(id, time_to_first_event, m_loop.Now());
     return ScheduleDecision();
   }
   SendToCoordinator(FirstEventMessage{id, time_to_first_event});
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -99,6 +99,7 @@
     SubmitAndDecide(request);
     BOOST_REQUIRE(decisions.grants.size() == 1U);
     BOOST_TEST(!decisions.grants[0].version.has_value());
+    coordinator.RecordFirstEvent(kStream, Millis{1}, kStart);
     coordinator.ReleaseRun(kStream, {}, kStart);
   }
   void CheckGrant(const std::string& backend, const SoftwareVersion& version) const {
@@ -412,6 +413,16 @@
   CheckRefusal(RefusalReason::kNoSuchVersion);
 }
 
+// Guards against a coordinator that was paused, grants what has run elsewhere meanwhile, and takes
+// that for the beginning of the stream.
+BOOST_FIXTURE_TEST_CASE(GrantWithoutAnEventIsNoOrigin, CoordinatorFixture) {
+  SubmitAndDecide(MakeRequest(kStream.Text()));
+  BOOST_REQUIRE(decisions.grants.size() == 1U);
+  BOOST_TEST(!coordinator.Streams().Find(kStream, kStart).has_value());
+  SubmitAndDecide(MakeTakenUp("second", kStream));
+  CheckRefusal(RefusalReason::kUnknownVersion);
+}
+
 // Guards against a new coordinator that does not know where running streams began, and against
 // records of requests that no caller can take up.
 BOOST_FIXTURE_TEST_CASE(ReportedStreamsAreKnown, CoordinatorFixture) {
