Record the version that the home of a request states

Callers saw: a stream that is refused though servers of its version serve, since the entry of the server that began it was removed before its first event; or, after a server has started again with another version and the coordinator has changed, a stream that goes on at the wrong version. Cause: the coordinator took the version from its own present entry for the server's id. Since the origin is recorded with the first event and not with the grant, that entry may be gone or belong to the next start of the server. The instance that runs the request knows what it sent it to. Change: the first event and the report to a new coordinator state the version, also for a stream that waits to be continued. Older builds do not state it; for them the entry decides as before. The fault was not played with processes.

--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -361,7 +361,7 @@
   if (!m_first_event_at) {
     m_first_event_at = now;
     const auto time_to_first_event = std::chrono::duration_cast<Millis>(now - m_sent_at);
-    m_context.dispatcher.RecordFirstEvent(m_request.id, time_to_first_event);
+    m_context.dispatcher.RecordFirstEvent(m_request.id, m_backend_version, time_to_first_event);
   }
   if (m_run_event_count > 0) m_event_gaps.Add(now - m_last_event_at);
   m_last_event_at = now;
--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -82,17 +82,24 @@
   return origin->version;
 }
 
-void Coordinator::RecordStream(const RequestInfo& request, const BackendId& backend) {
-  const SoftwareVersion* version = m_scheduler.VersionOf(backend);
+const SoftwareVersion* Coordinator::VersionOfRun(const std::optional<SoftwareVersion>& stated,
+                                                 const BackendId& backend) const {
+  // The backend server may have been removed, or have started again, since the run began.
+  return stated ? &*stated : m_scheduler.VersionOf(backend);
+}
+
+void Coordinator::RecordStream(const RequestInfo& request, const SoftwareVersion* version) {
   if (request.stream_lifetime == Millis{0} || version == nullptr) return;
   m_streams.Record(request.stream, {request.service, *version},
                    request.arrived + std::min(request.stream_lifetime, kMaxStreamLifetime));
 }
 
-void Coordinator::RecordFirstEvent(const AttemptId& id, Millis time_to_first_event, TimePoint now) {
+void Coordinator::RecordFirstEvent(const AttemptId& id,
+                                   const std::optional<SoftwareVersion>& version,
+                                   Millis time_to_first_event, TimePoint now) {
   m_scheduler.RecordFirstEvent(id, time_to_first_event, now);
   if (const RequestInfo* request = m_scheduler.FindRunning(id))
-    RecordStream(*request, *m_scheduler.BackendOf(id));
+    RecordStream(*request, VersionOfRun(version, *m_scheduler.BackendOf(id)));
 }
 
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
@@ -203,9 +210,12 @@
   RemoveHome(home);
   for (const RunningRequest& run : running) {
     m_scheduler.AdoptRun(run.request, run.backend, run.is_prefilling, now);
-    if (!run.is_prefilling) RecordStream(run.request, run.backend);
+    if (!run.is_prefilling)
+      RecordStream(run.request, VersionOfRun(run.request.version, run.backend));
   }
   for (RequestInfo& request : waiting) {
+    // Its home has begun it and continues it.
+    if (request.version && !request.is_taken_up) RecordStream(request, &*request.version);
     if (request.is_taken_up && !request.version) {
       Submit(std::move(request), now);
     } else if (IsQuarantined(request)) {
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -84,8 +84,10 @@
 
   /// Records the first event of a run, after which its stream belongs to the version of its backend
   /// server. A grant alone shows nothing: its home may have had one of another coordinator.
+  /// @param version that its home sent it to; nullopt from older builds
   /// @param time_to_first_event from dispatch
-  void RecordFirstEvent(const AttemptId& id, Millis time_to_first_event, TimePoint now);
+  void RecordFirstEvent(const AttemptId& id, const std::optional<SoftwareVersion>& version,
+                        Millis time_to_first_event, TimePoint now);
 
   /// Records that a connection to a backend server could not be established.
   void OnBackendUnreachable(const BackendId& id, TimePoint now);
@@ -117,8 +119,12 @@
   void ReleaseReservation(const RequestInfo& request);
   void EnqueueDelayed(TimePoint now);
   void DecideRollouts(TimePoint now);
-  /// Records the version of the backend server that has begun a stream.
-  void RecordStream(const RequestInfo& request, const BackendId& backend);
+  /// @return the version that has begun the stream of a run, or null if it is unknown
+  const SoftwareVersion* VersionOfRun(const std::optional<SoftwareVersion>& stated,
+                                      const BackendId& backend) const;
+  /// Records the version that has begun a stream.
+  /// @param version null if it is unknown
+  void RecordStream(const RequestInfo& request, const SoftwareVersion* version);
 
   std::shared_ptr<const RoutingTable> m_table;
   RolloutController m_rollouts;
--- a/src/gateway/fleet/dispatcher.h
+++ b/src/gateway/fleet/dispatcher.h
@@ -26,7 +26,11 @@
   virtual void Withdraw(const AttemptId& id) = 0;
   /// Reports the end of a granted run.
   virtual void ReleaseRun(const AttemptId& id, const RunReport& report) = 0;
-  virtual void RecordFirstEvent(const AttemptId& id, Millis time_to_first_event) = 0;
+  /// Reports the first event of a granted run.
+  /// @param version that the run was sent to
+  /// @param time_to_first_event from dispatch
+  virtual void RecordFirstEvent(const AttemptId& id, const SoftwareVersion& version,
+                                Millis time_to_first_event) = 0;
   /// Stops granting work to a backend server for a while.
   /// @param is_unreachable true when no connection to it could be established
   virtual void AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) = 0;
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -30,9 +30,11 @@
     return {wire::Item_Withdraw, wire::CreateWithdraw(m_builder, Encode(message.id)).Union()};
   }
   Item operator()(const FirstEventMessage& message) {
-    return {wire::Item_FirstEvent, wire::CreateFirstEvent(m_builder, Encode(message.id),
-                                                          message.time_to_first_event.count())
-                                       .Union()};
+    return {
+        wire::Item_FirstEvent,
+        wire::CreateFirstEvent(m_builder, Encode(message.id), message.time_to_first_event.count(),
+                               message.version ? Encode(*message.version) : 0)
+            .Union()};
   }
   Item operator()(const ReleaseRunMessage& message) {
     const RunReport& report = message.report;
@@ -228,6 +230,7 @@
         return WithdrawMessage{DecodeId<AttemptId>(message.item_as_Withdraw()->id())};
       case wire::Item_FirstEvent:
         return FirstEventMessage{DecodeId<AttemptId>(message.item_as_FirstEvent()->id()),
+                                 DecodeVersion(message.item_as_FirstEvent()->version()),
                                  DecodeMillis(message.item_as_FirstEvent()->after_ms())};
       case wire::Item_Release:
         return Decode(*message.item_as_Release());
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -52,7 +52,8 @@
 };
 struct FirstEventMessage {
   AttemptId id;
-  Millis time_to_first_event{0};  ///< from dispatch
+  std::optional<SoftwareVersion> version;  ///< of the backend server; nullopt from older builds
+  Millis time_to_first_event{0};           ///< from dispatch
 };
 struct ReleaseRunMessage {
   AttemptId id;
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -350,7 +350,7 @@
   } else if (const auto* withdraw = std::get_if<WithdrawMessage>(&message)) {
     m_coordinator.Withdraw(withdraw->id);
   } else if (const auto* event = std::get_if<FirstEventMessage>(&message)) {
-    m_coordinator.RecordFirstEvent(event->id, event->time_to_first_event, now);
+    m_coordinator.RecordFirstEvent(event->id, event->version, event->time_to_first_event, now);
   } else if (const auto* release = std::get_if<ReleaseRunMessage>(&message)) {
     m_coordinator.ReleaseRun(release->id, release->report, now);
   } else if (const auto* avoid = std::get_if<AvoidBackendMessage>(&message)) {
@@ -497,14 +497,18 @@
   SendToCoordinator(ReleaseRunMessage{id, report});
 }
 
-void Fleet::RecordFirstEvent(const AttemptId& id, Millis time_to_first_event) {
+void Fleet::RecordFirstEvent(const AttemptId& id, const SoftwareVersion& version,
+                             Millis time_to_first_event) {
   const auto found = m_requests.find(id);
-  if (found != m_requests.end()) found->second.is_prefilling = false;
+  if (found != m_requests.end()) {
+    found->second.is_prefilling = false;
+    found->second.info.version = version;
+  }
   if (IsCoordinator()) {
-    m_coordinator.RecordFirstEvent(id, time_to_first_event, m_loop.Now());
+    m_coordinator.RecordFirstEvent(id, version, time_to_first_event, m_loop.Now());
     return ScheduleDecision();
   }
-  SendToCoordinator(FirstEventMessage{id, time_to_first_event});
+  SendToCoordinator(FirstEventMessage{id, version, time_to_first_event});
 }
 
 void Fleet::AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) {
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -93,7 +93,8 @@
   void Submit(RequestInfo request, DispatchListener* listener) override;
   void Withdraw(const AttemptId& id) override;
   void ReleaseRun(const AttemptId& id, const RunReport& report) override;
-  void RecordFirstEvent(const AttemptId& id, Millis time_to_first_event) override;
+  void RecordFirstEvent(const AttemptId& id, const SoftwareVersion& version,
+                        Millis time_to_first_event) override;
   void AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) override;
 
   /// Sends a changed object of the platform's store to the followers.
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -935,12 +935,20 @@
 
 struct FirstEvent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FirstEventBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE { VT_ID = 4, VT_AFTER_MS = 6 };
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_AFTER_MS = 6,
+    VT_VERSION = 8
+  };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   int64_t after_ms() const { return GetField<int64_t>(VT_AFTER_MS, 0); }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyField<int64_t>(verifier, VT_AFTER_MS, 8) &&
+           VerifyOffset(verifier, VT_VERSION) && verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
 };
@@ -955,6 +963,9 @@
   void add_after_ms(int64_t after_ms) {
     fbb_.AddElement<int64_t>(FirstEvent::VT_AFTER_MS, after_ms, 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(FirstEvent::VT_VERSION, version);
+  }
   explicit FirstEventBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -967,18 +978,21 @@
 
 inline flatbuffers::Offset<FirstEvent> CreateFirstEvent(
     flatbuffers::FlatBufferBuilder &_fbb, flatbuffers::Offset<flatbuffers::String> id = 0,
-    int64_t after_ms = 0) {
+    int64_t after_ms = 0, flatbuffers::Offset<flatbuffers::String> version = 0) {
   FirstEventBuilder builder_(_fbb);
   builder_.add_after_ms(after_ms);
+  builder_.add_version(version);
   builder_.add_id(id);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<FirstEvent> CreateFirstEventDirect(flatbuffers::FlatBufferBuilder &_fbb,
                                                               const char *id = nullptr,
-                                                              int64_t after_ms = 0) {
+                                                              int64_t after_ms = 0,
+                                                              const char *version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
-  return bluebellpass::gateway::wire::CreateFirstEvent(_fbb, id__, after_ms);
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return bluebellpass::gateway::wire::CreateFirstEvent(_fbb, id__, after_ms, version__);
 }
 
 struct Release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -57,7 +57,7 @@
   return {
       SubmitMessage{SampleRequest()},
       WithdrawMessage{AttemptId("a2")},
-      FirstEventMessage{AttemptId("a3"), Millis{12}},
+      FirstEventMessage{AttemptId("a3"), SoftwareVersion("v2"), Millis{12}},
       ReleaseRunMessage{AttemptId("a4"), report},
       AvoidBackendMessage{BackendId("b"), Millis{500}, true},
       SyncRequestsMessage{{SampleRequest()},
@@ -111,6 +111,9 @@
   BOOST_TEST(request.is_retry);
   BOOST_TEST(request.is_retryable);
   BOOST_TEST(request.route == expected.route);
+  const auto& event = std::get<FirstEventMessage>(messages[2]);
+  BOOST_TEST((event.version == SoftwareVersion("v2")));
+  BOOST_TEST((event.time_to_first_event == Millis{12}));
   const RunReport& report = std::get<ReleaseRunMessage>(messages[3]).report;
   BOOST_TEST((report.outcome == RunOutcome::kLost));
   BOOST_TEST((report.time_to_first_event == Millis{90}));
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -99,7 +99,7 @@
     SubmitAndDecide(request);
     BOOST_REQUIRE(decisions.grants.size() == 1U);
     BOOST_TEST(!decisions.grants[0].version.has_value());
-    coordinator.RecordFirstEvent(kStream, Millis{1}, kStart);
+    coordinator.RecordFirstEvent(kStream, kOld, Millis{1}, kStart);
     coordinator.ReleaseRun(kStream, {}, kStart);
   }
   void CheckGrant(const std::string& backend, const SoftwareVersion& version) const {
@@ -423,6 +423,27 @@
   CheckRefusal(RefusalReason::kUnknownVersion);
 }
 
+// Guards against a stream whose version is forgotten with its backend server's entry, or taken from
+// the entry of a server that has started again.
+BOOST_FIXTURE_TEST_CASE(OriginIsWhatTheHomeStates, CoordinatorFixture) {
+  RequestInfo request = MakeRequest(kStream.Text());
+  request.excluded_backends = {BackendId("b")};
+  SubmitAndDecide(request);
+  BOOST_REQUIRE(decisions.grants.size() == 1U);
+  coordinator.RequestScheduler().RemoveBackend(BackendId("a"));
+  coordinator.RecordFirstEvent(kStream, kOld, Millis{1}, kStart);
+  BOOST_TEST((coordinator.Streams().Find(kStream, kStart) == kOldOrigin));
+
+  RequestInfo running = MakeRequest("running");
+  running.version = kOld;
+  RequestInfo continued = MakeRequest("continued");
+  continued.version = kOld;
+  coordinator.SyncRequests(InstanceId("home"), {continued}, {{running, BackendId("b"), false}},
+                           kStart);
+  for (const AttemptId& stream : {running.id, continued.id})
+    BOOST_TEST((coordinator.Streams().Find(stream, kStart) == kOldOrigin), stream.Text());
+}
+
 // Guards against a new coordinator that does not know where running streams began, and against
 // records of requests that no caller can take up.
 BOOST_FIXTURE_TEST_CASE(ReportedStreamsAreKnown, CoordinatorFixture) {
