Use an outdated entry only when the store is known to have it

Callers saw: requests at a leaving server again (DRAIN), when the store comes back from a copy that calls the server ready and is then away for some seconds. Found by review. Cause: an entry with an older report is used after 6 s if the view still has it. The view shows what the store has removed only while it is confirmed. Change: the entry is used once a view that was confirmed after the 6 s has it. Before and after: gateway-store-restore-test, LeavingBeforeRestoreIsObeyedWithoutTheStore, with three gateway processes and a store that gives no answers after the restore, failed on (e0 still got requests; 1 of 1 run) and passes now with the other 7 cases.

--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -6,8 +6,9 @@
 namespace bluebellpass::gateway {
 namespace {
 
-// The store removes the entry of a server that has not reported for less time than this.
+// Longer than the store keeps the entry of a server that does not report.
 constexpr Millis kOutdatedEntryTime{6'000};
+constexpr Millis kOutdatedEntryCheckPeriod{1'000};
 
 }  // namespace
 
@@ -48,15 +49,19 @@
   SetSchedulerBackend(backend);
 }
 
-void Gateway::UseRemainingEntry(const StoredObject& object) {
-  const auto& revisions = m_backend_watch->ObjectRevisions();
-  const auto found = revisions.find(object.name);
-  if (found == revisions.end() || found->second != object.revision) return;
-  Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
-  if (!IsOk(backend)) return;
-  std::get<Backend>(backend).revision = object.revision.Value();
-  SetBackend(std::get<Backend>(backend), object.revision);
-  m_fleet.ScheduleDecision();
+void Gateway::UseRemainingEntry(const StoredObject& object, BootTime expires_at) {
+  m_loop.RunAfter(kOutdatedEntryCheckPeriod, [this, object, expires_at] {
+    const auto& revisions = m_backend_watch->ObjectRevisions();
+    const auto found = revisions.find(object.name);
+    if (found == revisions.end() || found->second != object.revision) return;
+    // What the store has removed by then may be unknown here.
+    if (m_backend_watch->ConfirmedAt() < expires_at) return UseRemainingEntry(object, expires_at);
+    Result<Backend> backend = m_platform.protocol->DecodeBackend(object.name, *object.spec);
+    if (!IsOk(backend)) return;
+    std::get<Backend>(backend).revision = object.revision.Value();
+    SetBackend(std::get<Backend>(backend), object.revision);
+    m_fleet.ScheduleDecision();
+  });
 }
 
 void Gateway::OnBackendObject(const StoredObject& object) {
@@ -68,7 +73,7 @@
       changed.revision = object.revision.Value();
       if (!m_backend_reports.IsOutdated(changed, object.revision))
         return SetBackend(changed, object.revision);
-      m_loop.RunAfter(kOutdatedEntryTime, [this, object] { UseRemainingEntry(object); });
+      UseRemainingEntry(object, m_clock.Now() + kOutdatedEntryTime);
       return LogEvent(EventId::kChangeIgnored,
                       {{"kind", std::string(NameOf(ObjectKind::kBackends))},
                        {"object", object.name},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,8 +61,9 @@
   void OnConfigObject(const StoredObject& object);
   void OnBackendBatch();
   void OnBackendObject(const StoredObject& object);
-  /// Uses an entry that was outdated if the store still has it: those of lost servers expire.
-  void UseRemainingEntry(const StoredObject& object);
+  /// Uses an outdated entry if the store still has it at a time by which those of lost servers are
+  /// gone.
+  void UseRemainingEntry(const StoredObject& object, BootTime expires_at);
   void SetBackend(const Backend& backend, Revision revision);
   /// Reads the keys of links and the versions that may have begun streams.
   void ReadFleetObjects();
--- a/test/gateway-store-restore-test.cc
+++ b/test/gateway-store-restore-test.cc
@@ -19,6 +19,8 @@
 constexpr Millis kMaxDrainDelay{2'000};
 // Until watches that began before are answered, and views are confirmed over the links.
 constexpr Millis kSettleTime{1'500};
+// The time after which an instance uses an entry that is older than what it knows.
+constexpr Millis kOutdatedEntryTime{6'000};
 constexpr int kUnrelatedChanges = 20;
 constexpr int kRequestsPerGateway = 20;
 
@@ -153,6 +155,19 @@
   CheckDrained("e0");
 }
 
+// Guards against an outdated entry that is used because the store is away when it should expire.
+BOOST_FIXTURE_TEST_CASE(LeavingBeforeRestoreIsObeyedWithoutTheStore, Fixture) {
+  store.MakeCopy();
+  Register(0, "draining", 2);
+  MakeUnrelatedChanges();
+  RunFor(kSettleTime);
+  store.Restore();
+  RunFor(kSettleTime);
+  store.SetFault(StoreStandin::Fault::kSilent);
+  RunFor(kOutdatedEntryTime);
+  CheckDrained("e0");
+}
+
 // Guards against requests to a backend server that has left, while the copy still names it.
 BOOST_FIXTURE_TEST_CASE(RemovalBeforeRestoreIsObeyed, Fixture) {
   store.MakeCopy();
