--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -98,9 +98,9 @@
   std::vector<RolloutVerdict> verdicts;
 };
 
-/// Where streams began, either direction: what the sender has decided over a new link, all that it
-/// knows to an instance that is to keep them, then new ones from the coordinator. Only for
-/// instances with kFeatureStreams.
+/// Where streams began, either direction: all that a former coordinator knows to the next one, and
+/// a coordinator to an instance that is to keep them, then new ones. Only for instances with
+/// kFeatureStreams.
 struct StreamsMessage {
   StreamRecords records;
 };
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -462,8 +462,8 @@
 void Fleet::Submit(RequestInfo request, DispatchListener* listener) {
   request.home = m_options.id;
   // A coordinator of an older build does not know where streams began; others know it better.
-  const bool is_left_alone = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
-  if (request.is_taken_up && !request.version && is_left_alone)
+  const bool needs_version = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
+  if (request.is_taken_up && !request.version && needs_version)
     request.version = m_coordinator.FindStreamVersion(request, m_loop.Now());
   m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
--- a/src/gateway/streams/service-versions.h
+++ b/src/gateway/streams/service-versions.h
@@ -33,7 +33,7 @@
  private:
   struct Versions {
     std::map<BackendId, SoftwareVersion> by_backend;
-    std::map<SoftwareVersion, TimePoint> last_served;  ///< of versions that no backend server has
+    std::map<SoftwareVersion, TimePoint> last_served;  ///< when one of its backend servers left
   };
   static void SetLastServed(Versions& versions, const SoftwareVersion& version, TimePoint at);
   static std::set<SoftwareVersion> VersionsOf(const Versions& versions, TimePoint now);
--- a/src/gateway/streams/stream-origins.h
+++ b/src/gateway/streams/stream-origins.h
@@ -37,8 +37,8 @@
     return Fingerprint(StableHash(stream.Text()));
   }
 
-  /// Records what this instance has decided. A later record replaces an earlier one: a stream that
-  /// has begun is continued at its origin only.
+  /// Records what the instance that runs a request has reported. A later record replaces an earlier
+  /// one.
   void Record(const AttemptId& stream, const StreamOrigin& origin, TimePoint until);
   /// Adds what another instance has decided. Does not replace what this one has decided since
   /// HandOver.
--- a/src/gateway/streams/version-record.h
+++ b/src/gateway/streams/version-record.h
@@ -39,7 +39,7 @@
   VersionsByService m_wanted;
   std::optional<VersionsByService> m_stored;
   bool m_is_writing = false;
-  std::uint64_t m_reset_count = 0;  ///< writes of before a reset show nothing
+  std::uint64_t m_reset_count = 0;  ///< results of writes before the last one are ignored
   /// False after destruction; callbacks check it before they use this object.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
