Continue a stream without a record only on a view confirmed since

Cause: without a record of where a stream began, an instance took the only version that it knew, from a view of the backend servers that could be 2 s old, and older after a suspension, which the steady clock does not count. Class: an old view taken as a proof that nothing is missing from it. Ruled out: a shorter age; any age leaves time for a version to come, serve and break off. Change: such a request waits until the view is confirmed at a time after its arrival, for at most 1 s, and the coordinator reads the changes in a call of its own for it. The test of the 2 s is replaced by a stricter one: no age counts. Conclusion: fixed for instances that are cut off, stand still or were suspended. A version that comes and goes while an instance has no history of the store remains unknown to it.

--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -11,6 +11,8 @@
 // all kinds of request: a delay that grew with the objective would give an organisation's quota to
 // its few large requests.
 constexpr Millis kMaxQuotaDelay{250};
+// Longer than a read of the store usually takes, and shorter than callers wait for a stream.
+constexpr Millis kMaxConfirmationWait{1'000};
 // A request that ran when this many backend servers crashed does not run again.
 constexpr std::uint32_t kCrashesToQuarantine = 2;
 // The same for requests with a part of a prompt. Higher, because sound requests may share the part.
@@ -74,9 +76,12 @@
 }
 
 std::optional<SoftwareVersion> Coordinator::FindStreamVersion(const RequestInfo& request,
+                                                              TimePoint taken_up_at,
                                                               TimePoint now) const {
   const auto origin = m_streams.Find(request.stream, now);
-  if (!origin) return m_versions.OnlyVersion(request.service, now);
+  if (!origin)
+    return m_versions.IsConfirmedSince(taken_up_at) ? m_versions.OnlyVersion(request.service, now)
+                                                    : std::nullopt;
   // Its route has been moved, and the services' texts do not fit together either.
   if (origin->service != request.service) return std::nullopt;
   return origin->version;
@@ -102,14 +107,35 @@
     RecordStream(*request, VersionOfRun(version, *m_scheduler.BackendOf(id)));
 }
 
+bool Coordinator::MayBeFoundLater(const RequestInfo& request, TimePoint taken_up_at,
+                                  TimePoint now) const {
+  return !m_versions.IsConfirmedSince(taken_up_at) && now < taken_up_at + kMaxConfirmationWait &&
+         !m_streams.Find(request.stream, now) && m_versions.OnlyVersion(request.service, now);
+}
+
 void Coordinator::Submit(RequestInfo request, TimePoint now) {
-  if (request.is_taken_up && !request.version) {
-    request.version = FindStreamVersion(request, now);
-    if (!request.version) {
+  if (!request.is_taken_up || request.version) return Admit(std::move(request), now);
+  m_unconfirmed.push_back({std::move(request), now});
+  SubmitConfirmed(now);
+}
+
+void Coordinator::SubmitConfirmed(TimePoint now) {
+  std::vector<UnconfirmedRequest> waiting;
+  for (UnconfirmedRequest& unconfirmed : std::exchange(m_unconfirmed, {})) {
+    RequestInfo& request = unconfirmed.request;
+    request.version = FindStreamVersion(request, unconfirmed.taken_up_at, now);
+    if (request.version) {
+      Admit(std::move(request), now);
+    } else if (MayBeFoundLater(request, unconfirmed.taken_up_at, now)) {
+      waiting.push_back(std::move(unconfirmed));
+    } else {
       m_refusals.push_back({request.id, request.home, RefusalReason::kUnknownVersion, Millis{0}});
-      return;
     }
   }
+  m_unconfirmed = std::move(waiting);
+}
+
+void Coordinator::Admit(RequestInfo request, TimePoint now) {
   if (IsQuarantined(request)) {
     RefuseAsQuarantined(request);
     return;
@@ -160,12 +186,17 @@
   std::optional<TimePoint> next = m_scheduler.NextDecision();
   for (const DelayedRequest& delayed : m_delayed)
     if (!next || delayed.ready_at < *next) next = delayed.ready_at;
+  for (const UnconfirmedRequest& unconfirmed : m_unconfirmed) {
+    const TimePoint refused_at = unconfirmed.taken_up_at + kMaxConfirmationWait;
+    if (!next || refused_at < *next) next = refused_at;
+  }
   if (const auto rollout = m_rollouts.NextDecision(); rollout && (!next || *rollout < *next))
     next = rollout;
   return next;
 }
 
 void Coordinator::RemoveHome(const InstanceId& home) {
+  std::erase_if(m_unconfirmed, [&](const auto& entry) { return entry.request.home == home; });
   std::erase_if(m_delayed, [&](const DelayedRequest& delayed) {
     if (delayed.request.home != home) return false;
     ReleaseReservation(delayed.request);
@@ -175,6 +206,7 @@
 }
 
 void Coordinator::Withdraw(const AttemptId& id) {
+  std::erase_if(m_unconfirmed, [&](const auto& entry) { return entry.request.id == id; });
   std::erase_if(m_delayed, [&](const DelayedRequest& delayed) {
     if (delayed.request.id != id) return false;
     ReleaseReservation(delayed.request);
@@ -240,6 +272,7 @@
   CrashUpdate crashes = m_crash_records.TakeChanges();
   if (!crashes.records.empty()) RefuseQuarantined();
   EnqueueDelayed(now);
+  SubmitConfirmed(now);
   Decisions decisions = m_scheduler.Decide(now, *this);
   decisions.crashes = std::move(crashes);
   for (const Refusal& refusal : decisions.refusals)
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -78,9 +78,13 @@
   /// The versions that may have begun them, which every instance knows.
   ServiceVersions& Versions() { return m_versions; }
   const ServiceVersions& Versions() const { return m_versions; }
+  /// @param taken_up_at when the request arrived here
   /// @return the version that may continue the stream of a request that is taken up, or nullopt if
   /// it is unknown
-  std::optional<SoftwareVersion> FindStreamVersion(const RequestInfo& request, TimePoint now) const;
+  std::optional<SoftwareVersion> FindStreamVersion(const RequestInfo& request,
+                                                   TimePoint taken_up_at, TimePoint now) const;
+  /// @return true if requests wait until the view of the backend servers is confirmed
+  bool NeedsConfirmation() const { return !m_unconfirmed.empty(); }
 
   /// Records the first event of a run, after which its stream belongs to the version of its backend
   /// server. A grant alone shows nothing: its home may have had one of another coordinator.
@@ -108,6 +112,18 @@
     TimePoint ready_at;
   };
 
+  /// A request that is taken up and has no record, until the view of the backend servers is
+  /// confirmed. A version that this instance does not know yet may have begun its stream.
+  struct UnconfirmedRequest {
+    RequestInfo request;
+    TimePoint taken_up_at;
+  };
+
+  /// @return true if a view that is confirmed later could show the version of the stream
+  bool MayBeFoundLater(const RequestInfo& request, TimePoint taken_up_at, TimePoint now) const;
+  void SubmitConfirmed(TimePoint now);
+  /// Limits by quarantine and quota, then queues a request.
+  void Admit(RequestInfo request, TimePoint now);
   /// @return true when the request may have caused so many crashes that it must not run
   bool IsQuarantined(const RequestInfo& request) const;
   void RefuseAsQuarantined(const RequestInfo& request);
@@ -135,6 +151,7 @@
   StreamOrigins m_streams;
   ServiceVersions m_versions;
   std::vector<DelayedRequest> m_delayed;
+  std::vector<UnconfirmedRequest> m_unconfirmed;
   std::vector<Refusal> m_refusals;  ///< made on submission; returned by the next Decide
 };
 
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -464,7 +464,7 @@
   // A coordinator of an older build does not know where streams began; others know it better.
   const bool needs_version = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
   if (request.is_taken_up && !request.version && needs_version)
-    request.version = m_coordinator.FindStreamVersion(request, m_loop.Now());
+    request.version = m_coordinator.FindStreamVersion(request, m_loop.Now(), m_loop.Now());
   m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
     m_coordinator.Submit(std::move(request), m_loop.Now());
@@ -559,6 +559,7 @@
   m_is_decision_scheduled = false;
   const TimePoint now = m_loop.Now();
   Decisions decisions = m_coordinator.Decide(now);
+  if (m_coordinator.NeedsConfirmation()) m_events.on_confirmation_needed();
   // The coordinator has reported what a follower learns of crashes.
   if (!IsCoordinator()) decisions.crashes = {};
   for (auto& [id, peer] : m_followers) SendCrashes(peer, decisions.crashes);
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -52,6 +52,9 @@
     /// The coordinator has changed. `is_remote` is true when another instance coordinates, over a
     /// new link, and false when this one does or there is no coordinator.
     std::function<void(bool is_remote)> on_coordinator_changed;
+    /// Requests wait until the view of the backend servers is confirmed. Called after each decision
+    /// that leaves some.
+    std::function<void()> on_confirmation_needed;
   };
 
   Fleet(EventLoop& loop, FleetOptions options, Coordinator& coordinator, Events events);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -178,7 +178,8 @@
                [this](bool is_remote) {
                  m_relay->OnCoordinatorChanged(is_remote);
                  m_version_record.Reset();
-               }}),
+               },
+               [this] { m_backend_watch->Refresh(); }}),
       m_pool(m_loop, MakePoolOptions(m_buffer_memory)),
       m_caller_server(
           m_loop, MakeHttpLimits(m_settings, {}),
@@ -286,6 +287,7 @@
   backend_events.on_batch = [this] { OnBackendBatch(); };
   backend_events.on_confirmed = [this](BootTime at) {
     m_coordinator.Versions().SetConfirmed(m_loop.Now() - (m_clock.Now() - at));
+    if (m_coordinator.NeedsConfirmation()) m_fleet.ScheduleDecision();
   };
   backend_events.on_reachability = MakeReachabilityLogger("backends");
   m_backend_watch = std::make_unique<ObjectWatch>(
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -7,6 +7,12 @@
 #include "bluebellpass/event.h"
 
 namespace bluebellpass::gateway {
+namespace {
+
+// The shortest wait, since only the changes so far are wanted.
+constexpr Millis kRefreshWait{1};
+
+}  // namespace
 
 ObjectWatch::ObjectWatch(StoreClient& store, TimerService& timers, const BootClock& clock,
                          ObjectKind kind, WatchOptions options, Events events)
@@ -171,6 +177,31 @@
   ScheduleNextCall(Millis{0});
 }
 
+void ObjectWatch::Refresh() {
+  const BootTime now = m_clock.Now();
+  if (m_is_refreshing || m_is_backing_off || m_needs_list || !HasInitialList()) return;
+  if (now < m_next_refresh) return;
+  m_is_refreshing = true;
+  m_store.Watch(m_kind, m_revision, kRefreshWait,
+                [this, alive = m_alive, now](const Result<ObjectPage>& result) {
+                  if (*alive) OnRefreshed(now, result);
+                });
+}
+
+void ObjectWatch::OnRefreshed(BootTime sent_at, const Result<ObjectPage>& result) {
+  m_is_refreshing = false;
+  if (!IsOk(result)) {
+    // The call in progress will show the same.
+    m_next_refresh = m_clock.Now() + m_options.initial_backoff;
+    return;
+  }
+  const ObjectPage& page = std::get<ObjectPage>(result);
+  ApplyChanges(page.objects, page.revision < m_revision);
+  SetRevision(std::max(m_revision, page.revision));
+  if (!page.objects.empty() && m_events.on_batch) m_events.on_batch();
+  SetConfirmed(sent_at);
+}
+
 void ObjectWatch::SetSuspended(bool is_suspended) {
   if (m_is_suspended == is_suspended) return;
   m_is_suspended = is_suspended;
--- a/src/gateway/state/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -53,6 +53,10 @@
   /// Lists all objects again, because the store has come back from a copy. A call in progress shows
   /// the same by its response.
   void Relist();
+  /// Reads the changes so far in a call of its own, so that the view is confirmed without waiting
+  /// for the present call to end. Does nothing while the store does not answer or a list is to
+  /// come.
+  void Refresh();
   /// Suspends or resumes calls to the store. While suspended, changes come from ApplyRelayed and
   /// confirmations from Confirm.
   void SetSuspended(bool is_suspended);
@@ -85,6 +89,7 @@
   BootTime ConfirmedAt() const { return m_confirmed_at; }
 
  private:
+  void OnRefreshed(BootTime sent_at, const Result<ObjectPage>& result);
   void ListFrom(const std::string& after);
   void OnListPage(BootTime sent_at, Result<ObjectPage> result);
   void MakeNextCall();
@@ -124,6 +129,8 @@
   BootTime m_confirmed_at{};
   bool m_is_reachable = true;
   bool m_is_backing_off = false;  ///< between a failure and its retry
+  bool m_is_refreshing = false;
+  BootTime m_next_refresh{};
   /// False after destruction; callbacks check it before they use this object.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/gateway/streams/service-versions.cc
+++ b/src/gateway/streams/service-versions.cc
@@ -4,12 +4,6 @@
 #include <utility>
 
 namespace bluebellpass::gateway {
-namespace {
-
-// A version that is registered later than this has begun at most a stream or two.
-constexpr Millis kMaxConfirmationAge{2'000};
-
-}  // namespace
 
 void ServiceVersions::SetBackend(const Backend& backend, TimePoint now) {
   const auto service = m_service_of.find(backend.id);
@@ -61,7 +55,6 @@
 
 std::optional<SoftwareVersion> ServiceVersions::OnlyVersion(const ServiceName& service,
                                                             TimePoint now) const {
-  if (!m_confirmed_at || now - *m_confirmed_at > kMaxConfirmationAge) return std::nullopt;
   const auto found = m_services.find(service);
   if (found == m_services.end()) return std::nullopt;
   const std::set<SoftwareVersion> versions = VersionsOf(found->second, now);
--- a/src/gateway/streams/service-versions.h
+++ b/src/gateway/streams/service-versions.h
@@ -25,8 +25,10 @@
   /// Records that the backend servers were all known at a time.
   void SetConfirmed(TimePoint at);
 
-  /// @return the only version that a stream of the service can be of, or nullopt if there are
-  /// several, or one may have come that this instance does not know yet
+  /// @return true if the backend servers were all known at a time. Streams that had begun by then
+  /// are of versions that this instance knows, since a backend server registers before it serves.
+  bool IsConfirmedSince(TimePoint at) const { return m_confirmed_at && *m_confirmed_at >= at; }
+  /// @return the only known version that streams of the service can be of, or nullopt
   std::optional<SoftwareVersion> OnlyVersion(const ServiceName& service, TimePoint now) const;
   VersionsByService All(TimePoint now) const;
 
--- a/test/gateway-knowledge-test.cc
+++ b/test/gateway-knowledge-test.cc
@@ -85,6 +85,32 @@
   BOOST_TEST(!state.MayDenyRequests());
 }
 
+// Guards against a view that is confirmed only when a long call ends, and against a refresh that
+// confirms a time after it was sent, or is repeated at once when it fails.
+BOOST_FIXTURE_TEST_CASE(RefreshConfirmsTheViewAtOnce, WatchFixture) {
+  watch.Refresh();
+  BOOST_TEST(store.calls.empty());
+  watch.Start();
+  store.AnswerLastCall(ObjectPage{{MakeObject("a", 3)}, false, Revision(5)});
+  timers.AdvanceToNextTimer();
+  const std::size_t calls = store.calls.size();
+  clock.Advance(Millis{700});
+  const BootTime sent_at = clock.Now();
+  watch.Refresh();
+  watch.Refresh();
+  BOOST_REQUIRE(store.calls.size() == calls + 1);
+  BOOST_TEST(store.calls.back().revision.Value() == 5U);
+  clock.Advance(Millis{20});
+  store.AnswerLastCall(ObjectPage{{MakeObject("b", 6)}, false, Revision(6)});
+  BOOST_TEST(view.size() == 2U);
+  BOOST_REQUIRE(confirmed_at.has_value());
+  BOOST_TEST((*confirmed_at == sent_at));
+  watch.Refresh();
+  store.AnswerLastCall(Error{ErrorKind::kStoreUnavailable, "", ""});
+  watch.Refresh();
+  BOOST_TEST(store.calls.size() == calls + 2);
+}
+
 // Guards against entries that are deleted while the history is lost and stay in the view for ever.
 BOOST_FIXTURE_TEST_CASE(LostHistoryCausesNewList, WatchFixture) {
   watch.Start();
--- a/test/gateway-stream-version-test.cc
+++ b/test/gateway-stream-version-test.cc
@@ -6,6 +6,7 @@
 #include "platform/names.h"
 #include "soak/engine-standin.h"
 #include "soak/store-standin.h"
+#include "standins/proxy.h"
 
 /// Streams while backend servers of several software versions serve, whose texts do not fit
 /// together.
@@ -21,6 +22,8 @@
 constexpr Millis kStepTimeout{5'000};
 // Until views are confirmed over the links, and long links count as such.
 constexpr Millis kSettleTime{2'000};
+// Until a change is read, and confirmed over a link.
+constexpr Millis kConfirmTime{400};
 constexpr int kStreams = 12;
 
 /// A stream as its caller sees it.
@@ -37,6 +40,7 @@
   std::vector<std::unique_ptr<GatewayProcess>> gateways;
   std::vector<std::unique_ptr<EngineStandin>> engines;
   std::map<std::string, std::string> version_of;  ///< by engine
+  std::map<std::string, Address> address_of;      ///< by engine
   std::vector<SoakRun> runs;
   int request_count = 0;
 
@@ -64,13 +68,18 @@
     engines.push_back(std::make_unique<EngineStandin>(
         loop, id, 40, [this](const SoakRun& run) { runs.push_back(run); }));
     version_of[id] = version;
-    store.Put(names::kBackendKind, id,
+    address_of[id] = engines.back()->Listen();
+    Register(*engines.back(), version, 1);
+  }
+  /// @param report number of the engine's report, which rises with each
+  void Register(const EngineStandin& engine, const std::string& version, int report) {
+    store.Put(names::kBackendKind, engine.Id(),
               {{"service", "s"},
-               {"addr", engines.back()->Listen().Text()},
+               {"addr", address_of.at(engine.Id()).Text()},
                {"slots", 40},
                {"state", "ready"},
                {"version", version},
-               {"seq", 1},
+               {"seq", report},
                {"born", 1'700'000'000'000}});
   }
   /// Starts gateways one after the other, so that the first one coordinates.
@@ -162,6 +171,43 @@
   }
 };
 
+/// Two instances, of which the second one can be cut off from the first one and from the store.
+struct CutFixture : Fixture {
+  standin::Proxy store_proxy{loop, store_address};
+  standin::Proxy link_proxy{loop, {"127.0.0.1", gateways[0]->peer_port}};
+
+  CutFixture() {
+    gateways[1] = std::make_unique<GatewayProcess>(
+        folder, "b", std::get<Address>(store_proxy.Listen({"127.0.0.1", 0})));
+    gateways.pop_back();
+    AddEngine("old", "1");
+    Start(0);
+    store.Put(names::kInstanceKind, "a",
+              {{"data_centre", ""},
+               {"caller_address", gateways[0]->front.Text()},
+               {"peer_address", std::get<Address>(link_proxy.Listen({"127.0.0.1", 0})).Text()}});
+    Start(1);
+    RunFor(kSettleTime);
+  }
+  void Start(std::size_t index) {
+    gateways[index]->Start();
+    BOOST_REQUIRE(
+        RunUntil([&] { return Get(gateways[index]->ready, names::kReadyPath)->Status() == 200; },
+                 kStartTimeout));
+  }
+  /// Has the first instance, and over its link the second one, confirm its view anew.
+  void ConfirmViews() {
+    for (const int report : {2, 3}) {
+      Register(*engines.front(), "1", report);
+      RunFor(kConfirmTime);
+    }
+  }
+  void Cut() {
+    link_proxy.SetMode(standin::ProxyMode::kCut);
+    store_proxy.SetMode(standin::ProxyMode::kSilent);
+  }
+};
+
 }  // namespace
 
 // Guards against an answer that goes on at another version when its server crashes.
@@ -240,6 +286,19 @@
   TakeUp(streams, 2);
 }
 
+// Guards against a stream that goes on at the only version that an instance knows, which was cut
+// off while the version that began it came.
+BOOST_FIXTURE_TEST_CASE(InstanceOutOfStepDoesNotJoinVersions, CutFixture) {
+  ConfirmViews();
+  Cut();
+  AddEngine("new", "2");
+  RunFor(kConfirmTime);
+  auto streams = BeginStreams(0);
+  BOOST_REQUIRE(streams.front().version == "2");
+  Disconnect(streams);
+  TakeUp(streams, 1);
+}
+
 // Guards against streams that are lost with all instances though there is only one version.
 BOOST_FIXTURE_TEST_CASE(StreamsOfOneVersionOutliveAllInstances, Fixture) {
   for (const char* id : {"e0", "e1"}) AddEngine(id, "1");
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -259,17 +259,18 @@
 
 BOOST_AUTO_TEST_SUITE(Versions)
 
-// Guards against a stream that is continued at the only known version while a server of another one
-// may have come unseen.
+// Guards against a view of the backend servers that counts as confirmed before it is, or that an
+// older confirmation makes older.
 BOOST_AUTO_TEST_CASE(OnlyVersionIsConfirmed) {
   ServiceVersions versions;
   versions.SetBackend(MakeBackend("a", kOld), kStart);
   versions.SetBackend(MakeBackend("b", kOld), kStart);
-  BOOST_TEST(!versions.OnlyVersion(kService, kStart).has_value());
+  BOOST_TEST(!versions.IsConfirmedSince(kStart - kMaxStreamLifetime));
   versions.SetConfirmed(kStart);
   versions.SetConfirmed(kStart - Millis{1'500});
-  BOOST_TEST((versions.OnlyVersion(kService, kStart + Millis{2'000}) == kOld));
-  BOOST_TEST(!versions.OnlyVersion(kService, kStart + Millis{2'001}).has_value());
+  BOOST_TEST(versions.IsConfirmedSince(kStart));
+  BOOST_TEST(!versions.IsConfirmedSince(kStart + kInstant));
+  BOOST_TEST((versions.OnlyVersion(kService, kStart) == kOld));
   BOOST_TEST(!versions.OnlyVersion(ServiceName("other"), kStart).has_value());
   versions.SetBackend(MakeBackend("b", kNew), kStart);
   BOOST_TEST(!versions.OnlyVersion(kService, kStart).has_value());
@@ -395,6 +396,48 @@
   CheckGrant("b", kNew);
 }
 
+// Guards against a stream that goes on at the only version of an older view, as an instance has
+// that was cut off or suspended.
+BOOST_FIXTURE_TEST_CASE(StreamOfUnknownVersionWaitsForAConfirmedView, CoordinatorFixture) {
+  coordinator.Versions().RemoveBackend(BackendId("a"), kStart - kMaxStreamLifetime);
+  const TimePoint arrival = kStart + Millis{1};
+  const auto submit = [&](const std::string& id) {
+    coordinator.Submit(MakeTakenUp(id, kStream), arrival);
+    decisions = coordinator.Decide(arrival);
+  };
+  submit("unseen");
+  BOOST_TEST(coordinator.NeedsConfirmation());
+  BOOST_TEST((decisions.grants.empty() && decisions.refusals.empty()));
+  coordinator.Versions().SetConfirmed(arrival - kInstant);
+  decisions = coordinator.Decide(arrival);
+  BOOST_TEST((decisions.grants.empty() && decisions.refusals.empty()));
+  coordinator.Versions().SetConfirmed(arrival);
+  decisions = coordinator.Decide(arrival);
+  CheckGrant("b", kNew);
+  BOOST_TEST(!coordinator.NeedsConfirmation());
+}
+
+// Guards against a request that waits without end for a view that is not confirmed, or for one that
+// shows two versions, and against one that is decided after its caller has left.
+BOOST_FIXTURE_TEST_CASE(WaitForAConfirmedViewIsBounded, CoordinatorFixture) {
+  coordinator.Versions().RemoveBackend(BackendId("a"), kStart - kMaxStreamLifetime);
+  const TimePoint arrival = kStart + Millis{1};
+  for (const char* id : {"late", "withdrawn"})
+    coordinator.Submit(MakeTakenUp(id, kStream), arrival);
+  coordinator.Withdraw(AttemptId("withdrawn"));
+  decisions = coordinator.Decide(arrival);
+  BOOST_TEST(decisions.refusals.empty());
+  BOOST_REQUIRE(coordinator.NextDecision().has_value());
+  decisions = coordinator.Decide(*coordinator.NextDecision());
+  CheckRefusal(RefusalReason::kUnknownVersion);
+  BOOST_TEST(!coordinator.NeedsConfirmation());
+
+  coordinator.Submit(MakeTakenUp("second", kStream), arrival);
+  coordinator.Versions().SetBackend(MakeBackend("a", kOld), arrival);
+  decisions = coordinator.Decide(arrival);
+  CheckRefusal(RefusalReason::kUnknownVersion);
+}
+
 // Guards against a caller that waits for a version which no server has any more.
 BOOST_FIXTURE_TEST_CASE(StreamOfAVersionWithoutServersIsRefused, CoordinatorFixture) {
   BeginStream();
