Forward requests of an instance that reaches no backend server

Cause: such an instance tried up to four backend servers for each request and had nowhere else to turn; directories named it; and each of its failed connections took a backend server away from all instances for 500 ms. Class: the view of one observer taken for the state of the observed. Ruled out: leaving it out of the directories alone, since callers keep addresses for seconds. Change: a failed connection is the backend server's fault only if another one was reached since. An instance that reaches none forwards requests to another instance and is not named by directories. Runs that break together, or stall at an instance to which several backend servers are silent, are no evidence against backend servers or versions. Streams under way break with their connections and are taken up elsewhere.

--- a/include/bluebellpass/event.h
+++ b/include/bluebellpass/event.h
@@ -94,6 +94,7 @@
   kMessageOversized = 625,
   kStoreRestored = 626,
   kChangeIgnored = 627,
+  kRequestForwarded = 628,
 };
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
--- a/include/bluebellpass/gateway/model.h
+++ b/include/bluebellpass/gateway/model.h
@@ -139,6 +139,7 @@
   bool is_resume = false;
   /// The attempt that brought the first event of the stream that is resumed; empty if not stated.
   AttemptId resumed_attempt;
+  bool is_forwarded = false;  ///< another instance received it, which reaches no backend server
 };
 
 /// Fields that the gateway adds to the request it sends to a backend server.
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -15,7 +15,6 @@
 // How long a backend server gets no work after another one responded at its address. Longer than
 // kAvoidDuration, because it cannot be reached until it registers again.
 constexpr Millis kWrongBackendAvoidDuration{5'000};
-// A server that crashes may accept connections until all of its process has ended.
 constexpr Millis kProbeDelay{100};
 // How long a leaving backend server gets no work from any instance, unless it starts again.
 constexpr Millis kLeavingAvoidDuration{60'000};
@@ -96,6 +95,11 @@
 void Call::Admit() {
   m_timer.Stop();
   if (!ResolveRoute()) return;
+  if (ShouldForward() && Forward()) return;
+  Enqueue();
+}
+
+void Call::Enqueue() {
   m_context.retry_budgets.For(m_service).RecordRequest(m_arrived_at);
   Submit();
 }
@@ -191,6 +195,13 @@
     TryResubmit(false);
     return;
   }
+  if (ShouldForward()) {
+    ReleaseRun(RunOutcome::kNotRun);
+    if (Forward()) return;
+    m_excluded_backends.insert(id);
+    TryResubmit(false);
+    return;
+  }
   Send(*backend);
 }
 
@@ -206,11 +217,7 @@
   std::vector<HttpField> header_fields =
       m_context.protocol.EncodeBackendRequest(head, backend.address, fields);
   m_exchange->PinBody();
-  const std::string& body = m_exchange->Body();
-  if (!body.empty() || head.content_length || head.is_chunked)
-    header_fields.push_back({"Content-Length", std::to_string(body.size())});
-  std::string request_bytes = SerializeRequest(head.method, head.target, header_fields);
-  request_bytes += body;
+  std::string request_bytes = SerializeWithBody(std::move(header_fields));
   m_state = State::kSent;
   m_sent_at = m_context.loop.Now();
   m_response_head = {};
@@ -238,6 +245,8 @@
     // Called from within StartCall when a connection is already established.
     self->m_was_sent = true;
     ++self->m_send_count;
+    if (self->m_pooled_call) self->m_context.path_monitor.RecordConnected(self->m_backend_id);
+    self->m_context.path_monitor.RecordSent();
     // No other backend server may get the request.
     if (self->m_send_count >= self->m_route->max_backends) self->m_exchange->ReleaseBody();
   };
@@ -248,6 +257,7 @@
 }
 
 bool Call::OnResponseHead(const HttpHead& head) {
+  m_context.path_monitor.RecordReceived();
   if (m_state != State::kSent) return true;
   ResponseFields response = m_context.protocol.DecodeResponse(head);
   // On a kept connection, a refusal without an id may be a repetition of an earlier one.
@@ -277,6 +287,7 @@
 }
 
 void Call::OnResponseBody(std::string_view bytes) {
+  m_context.path_monitor.RecordReceived();
   if (m_state != State::kSent && m_state != State::kResponding) return;
   if (!IsBodyNeeded()) return SkipBody(bytes.size());
   if (IsStreamSuccess()) {
@@ -396,13 +407,8 @@
   switch (result) {
     case PooledCallResult::kComplete:
       return OnResponseComplete();
-    case PooledCallResult::kConnectFailed: {
-      ReleaseRun(RunOutcome::kNotRun);
-      m_context.dispatcher.AvoidBackend(m_backend_id, kAvoidDuration, true);
-      m_excluded_backends.insert(m_backend_id);
-      TryResubmit(false);
-      return;
-    }
+    case PooledCallResult::kConnectFailed:
+      return OnUnreachable();
     case PooledCallResult::kConnectionBroken:
       return OnRunFailed(kConnectionLost);
     case PooledCallResult::kMalformedResponse:
@@ -410,6 +416,15 @@
   }
 }
 
+void Call::OnUnreachable() {
+  ReleaseRun(RunOutcome::kNotRun);
+  m_context.backend_notices.SetUnreachable(m_backend_start, m_context.loop.Now());
+  m_context.path_monitor.RecordFailure(m_backend_id, m_sent_at);
+  m_excluded_backends.insert(m_backend_id);
+  if (ShouldForward() && Forward()) return;
+  TryResubmit(false);
+}
+
 void Call::OnResponseComplete() {
   const ResponseFields& response = m_response;
   const int status = m_response_head.status;
@@ -467,9 +482,7 @@
 
 void Call::OnRunFailed(const std::string& reason) {
   m_may_have_run = m_may_have_run || m_was_sent;
-  const bool is_lost = reason == kConnectionLost && m_run_event_count == 0;
-  ReleaseRun(is_lost ? RunOutcome::kLost : RunOutcome::kFailed);
-  if (is_lost) ProbeBackend();
+  ReleaseRun(OutcomeOf(reason));
   m_excluded_backends.insert(m_backend_id);
   m_event_splitter.DiscardPartial();
   m_response_body = std::string();
@@ -484,15 +497,14 @@
   if (m_state != State::kEnded) Fail("run_failed");
 }
 
-void Call::ProbeBackend() {
-  const Backend* backend = m_context.routing_state.FindBackend(m_backend_id);
-  if (backend == nullptr) return;
-  const auto probe = [context = m_context, address = backend->address, id = backend->id] {
-    context.pool.Probe(address, [&dispatcher = context.dispatcher, id] {
-      dispatcher.AvoidBackend(id, kAvoidDuration, true);
-    });
-  };
-  m_context.loop.RunAfter(kProbeDelay, probe);
+RunOutcome Call::OutcomeOf(const std::string& reason) {
+  if (reason != kConnectionLost) return RunOutcome::kFailed;
+  const bool is_evidence = m_context.path_monitor.RecordLoss(m_backend_id);
+  if (m_run_event_count > 0) return is_evidence ? RunOutcome::kFailed : RunOutcome::kCancelled;
+  // A server that crashes may accept connections until all of its process has ended.
+  m_context.loop.RunAfter(
+      kProbeDelay, [&monitor = m_context.path_monitor, id = m_backend_id] { monitor.Probe(id); });
+  return is_evidence ? RunOutcome::kLost : RunOutcome::kCancelled;
 }
 
 bool Call::TryResubmit(bool was_sent) {
@@ -543,6 +555,8 @@
     case State::kResponding:
       ReleaseRun(RunOutcome::kCancelled);
       return Fail("timeout");
+    case State::kForwarded:
+      return Fail("timeout");
   }
 }
 
@@ -575,6 +589,7 @@
     m_may_have_run = m_may_have_run || m_was_sent;
     ReleaseRun(RunOutcome::kCancelled);
   }
+  if (m_state == State::kForwarded) m_may_have_run = m_may_have_run || m_was_sent;
   if (!m_may_have_run && !HasResponseStarted())
     return Refuse(kUnavailable, "stopping", kRetryAfterUnavailable);
   Fail("stopping");
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -12,9 +12,11 @@
 #include "gateway/decisions/caller-deadlines.h"
 #include "gateway/decisions/quota.h"
 #include "gateway/fleet/dispatcher.h"
+#include "gateway/fleet/peer-directory.h"
 #include "gateway/protocol.h"
 #include "gateway/rollout/rollout-controller.h"
 #include "gateway/state/backend-notices.h"
+#include "gateway/state/path-monitor.h"
 #include "gateway/state/routing-state.h"
 #include "kernel/http1-pool.h"
 #include "kernel/http1-server.h"
@@ -44,6 +46,9 @@
   MemoryAccount& buffer_memory;
   const RolloutController& rollouts;
   CallerDeadlines& caller_deadlines;
+  PathMonitor& path_monitor;
+  const PeerDirectory& peers;
+  HttpConnectionPool& peer_pool;
 };
 
 /// Proxies one attempt of a caller: resolves its route, queues it for a backend server, sends it
@@ -67,13 +72,15 @@
   void OnRefusal(RefusalReason reason, Millis retry_after) override;
 
  private:
-  enum class State { kNew, kWaiting, kSent, kResponding, kEnded };
+  enum class State { kNew, kWaiting, kSent, kResponding, kForwarded, kEnded };
 
   /// @return false when the request was invalid and has been refused
   bool DecodeRequestHead();
   void WaitForConfig();
   /// Resolves the route and the organisation, then queues the request.
   void Admit();
+  /// Queues the request for a backend server for the first time.
+  void Enqueue();
   bool ResolveRoute();
   /// @return the caller's attempt that brings the first event of the response stream
   const AttemptId& StreamId() const;
@@ -84,6 +91,15 @@
   void Submit();
   /// @return the event after which the stream is continued, or nullopt if it begins
   std::optional<std::uint64_t> ContinuedAfter() const;
+  /// @return true if the request can be forwarded and is better served by another instance
+  bool ShouldForward() const;
+  /// Sends the request to another instance, which serves it.
+  /// @return false if there is none
+  bool Forward();
+  void OnForwardedBody(std::string_view bytes);
+  void OnForwardedEnd(PooledCallResult result);
+  /// @return the request as it is sent to a backend server or to another instance
+  std::string SerializeWithBody(std::vector<HttpField> fields) const;
   void Send(const Backend& backend);
   PooledCallHandlers MakePooledCallHandlers();
   bool OnResponseHead(const HttpHead& head);
@@ -109,8 +125,9 @@
   /// Handles a response which states that the backend server did not run the request.
   void OnNotRun();
   void OnRunFailed(const std::string& reason);
-  /// Finds out whether the backend server has crashed, after it lost the connection of a run.
-  void ProbeBackend();
+  void OnUnreachable();
+  /// @return the outcome of a run that has failed
+  RunOutcome OutcomeOf(const std::string& reason);
   /// Queues the request for another backend server.
   /// @param was_sent true when the last run may have been sent, so that the retry counts against
   /// the retry budget. If it is false and no retry is allowed, this function also ends the call.
@@ -156,6 +173,7 @@
   BackendStart m_backend_start;       ///< of the current run
   SoftwareVersion m_backend_version;  ///< of the current run
   std::set<BackendId> m_excluded_backends;
+  std::set<Address> m_tried_peers;
   int m_send_count = 0;  ///< backend servers that the request was sent to
   int m_unsent_retry_count = 0;
   std::unique_ptr<PooledCall> m_pooled_call;
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -19,6 +19,8 @@
 constexpr Millis kStallTimeout{1'000};
 constexpr double kStallFactor = 3;
 constexpr Millis kStallCheckPeriod{200};
+// Backend servers that are silent to an instance before its own path to them is suspected.
+constexpr std::size_t kLostPathBackends = 3;
 
 }  // namespace
 
@@ -109,6 +111,7 @@
   const auto state = m_backends.find(found->second.backend);
   if (state == m_backends.end()) return;
   state->second.last_response = now;
+  m_last_response_by_home[found->second.request.home] = now;
   if (found->second.request.prompt_tokens < kMinPromptTokensForPrefillRatio) return;
   const double decode_ms = state->second.speed.DecodeMs(found->second.prefill_tokens_at_start);
   const double ratio = std::clamp(static_cast<double>(time_to_first_event.count()) / decode_ms,
@@ -146,13 +149,15 @@
       return;
     case RunOutcome::kCompleted:
       found->second.last_response = now;
+      m_last_response_by_home[run.request.home] = now;
       return failure_rate.Record(false, now);
     case RunOutcome::kFailed:
     case RunOutcome::kLost:
       return failure_rate.Record(true, now);
     case RunOutcome::kCancelled:
       // A caller that disconnects early says nothing about the backend server.
-      if (run.is_prefilling && now - run.started > kStallTimeout) failure_rate.Record(true, now);
+      if (run.is_prefilling && now - run.started > kStallTimeout && !run.has_lost_path)
+        failure_rate.Record(true, now);
       return;
   }
 }
@@ -191,6 +196,20 @@
   run.balance->RecordUnserved(run.size, outcome == RunOutcome::kCancelled, run.started, now);
 }
 
+bool Scheduler::MayHaveLostPath(const Run& run) const {
+  const InstanceId& home = run.request.home;
+  const auto response = m_last_response_by_home.find(home);
+  if (response != m_last_response_by_home.end() && response->second >= run.started) return false;
+  const auto requests = m_requests_by_home.find(home);
+  if (requests == m_requests_by_home.end()) return false;
+  std::set<BackendId> silent;
+  for (const AttemptId& id : requests->second) {
+    const auto other = m_runs.find(id);
+    if (other != m_runs.end() && other->second.is_prefilling) silent.insert(other->second.backend);
+  }
+  return silent.size() >= kLostPathBackends;
+}
+
 void Scheduler::DetectStalledRuns(TimePoint now) {
   if (now < m_next_stall_check) return;
   m_next_stall_check = now + kStallCheckPeriod;
@@ -200,6 +219,8 @@
     if (found == m_backends.end()) continue;
     const double expected_ms = found->second.speed.PrefillMs(run.prefill_tokens_at_start);
     if (MillisOf(now - run.started) <= expected_ms * kStallFactor) continue;
+    run.has_lost_path = MayHaveLostPath(run);
+    if (run.has_lost_path) continue;
     run.is_stalled = true;
     // Without any response since the run started, all prefilling runs count as failed.
     const int failed_runs =
@@ -257,6 +278,7 @@
 
 std::vector<RequestInfo> Scheduler::RemoveHome(const InstanceId& home) {
   std::vector<RequestInfo> waiting;
+  m_last_response_by_home.erase(home);
   const auto requests = m_requests_by_home.extract(home);
   if (requests.empty()) return waiting;
   for (const AttemptId& id : requests.mapped()) {
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -272,6 +272,7 @@
     TimePoint started;
     bool is_under_load = false;      ///< at the start more than half of the slots were taken
     bool is_stalled = false;         ///< counted as failed, since no event came for long
+    bool has_lost_path = false;      ///< the same, but its home may reach no backend server
     SizeBalance* balance = nullptr;  ///< null for a run that another scheduler granted
     SizeGroup size = SizeGroup::kSmall;
   };
@@ -392,6 +393,9 @@
   void RecordVersionResult(const Run& run, const RunReport& report, TimePoint now);
   void UpdateFailureRate(const Run& run, const RunReport& report, TimePoint now);
   void DetectStalledRuns(TimePoint now);
+  /// @return true if the home of a run may reach no backend server: several have sent it nothing
+  /// since the run started
+  bool MayHaveLostPath(const Run& run) const;
   /// Counts the outcome of a run for metrics and for the balance between size groups.
   static void RecordOutcome(const Run& run, RunOutcome outcome, TimePoint now);
   void EndPrefill(Run& run);
@@ -411,6 +415,7 @@
   std::map<AttemptId, WaitingRequest> m_waiting;
   std::map<AttemptId, Run> m_runs;
   std::map<InstanceId, std::set<AttemptId>> m_requests_by_home;  ///< waiting or running
+  std::map<InstanceId, TimePoint> m_last_response_by_home;
   std::map<RequestKind, SizeBalance> m_size_balances;
   std::map<ServiceName, ServiceLoad> m_loads;
   double m_prefill_ratio = kInitialPrefillRatio;
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -91,7 +91,7 @@
           Encode(member.peer_address.ip), member.peer_address.port,
           NumberOf(Revision(member.registration_revision)), member.is_alive, member.is_leaving,
           member.is_removed, member.has_lost_store, member.processor_share,
-          EraOf(Revision(member.registration_revision)).Value()));
+          EraOf(Revision(member.registration_revision)).Value(), member.has_lost_backends));
     return {wire::Item_View, wire::CreateView(m_builder, m_builder.CreateVector(members)).Union()};
   }
   Item operator()(const ProbeMessage& message) {
@@ -362,6 +362,7 @@
       member.is_leaving = record->is_leaving();
       member.is_removed = record->is_gone();
       member.has_lost_store = record->is_detached();
+      member.has_lost_backends = record->has_lost_backends();
       member.processor_share = record->processor_share();
       message.members.push_back(std::move(member));
     }
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -26,9 +26,10 @@
   std::uint64_t registration_revision = 0;  ///< store revision; 0 before it is registered
   bool is_alive = false;                    ///< as seen by the coordinator
   bool is_leaving = false;
-  bool has_lost_store = false;  ///< cannot reach the store while others can
-  bool is_removed = false;      ///< was absent for too long
-  double processor_share = 0;   ///< cores that the instance may use; 0 if unknown
+  bool has_lost_store = false;     ///< cannot reach the store while others can
+  bool has_lost_backends = false;  ///< reaches no backend server
+  bool is_removed = false;         ///< was absent for too long
+  double processor_share = 0;      ///< cores that the instance may use; 0 if unknown
 };
 
 /// Instances whose processor shares differ by less than a factor of two may be of the same class.
--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -40,6 +40,7 @@
   member.is_alive = true;
   member.is_leaving = m_is_leaving;
   member.has_lost_store = m_has_lost_store;
+  member.has_lost_backends = m_has_lost_backends;
   return member;
 }
 
@@ -61,22 +62,49 @@
   if (m_is_started) ElectCoordinator();
 }
 
+bool Fleet::IsRunning(const FleetMember& member) const {
+  // The coordinator reports which instances are alive. Without one, all count as alive.
+  return !member.is_leaving && (member.is_alive || !m_coordinator_id);
+}
+
 std::vector<Address> Fleet::CallerAddresses(const DataCentre& caller,
                                             std::size_t max_addresses) const {
   std::vector<CallerEndpoint> endpoints;
-  const auto add = [&](const InstanceId& id, const DataCentre& data_centre,
-                       const Address& address) {
-    endpoints.push_back({id, data_centre, address, m_coordinator_id == id});
+  std::vector<CallerEndpoint> without_backends;
+  const auto add = [&](const FleetMember& member) {
+    (member.has_lost_backends ? without_backends : endpoints)
+        .push_back(
+            {member.id, member.data_centre, member.caller_address, m_coordinator_id == member.id});
   };
-  if (!m_is_leaving) add(m_options.id, m_options.data_centre, m_options.caller_address);
-  // The coordinator reports which instances are alive. Without one, all count as alive.
-  const bool knows_liveness = m_coordinator_id.has_value();
+  if (!m_is_leaving) add(OwnMember());
   for (const auto& [id, member] : m_members)
-    if (!member.is_leaving && (member.is_alive || !knows_liveness))
-      add(id, member.data_centre, member.caller_address);
+    if (IsRunning(member)) add(member);
+  if (endpoints.empty()) endpoints = std::move(without_backends);
   return ChooseCallerAddresses(std::move(endpoints), caller, m_options.id, max_addresses);
 }
 
+std::optional<Address> Fleet::ChoosePeer(const AttemptId& request,
+                                         const std::set<Address>& excluded) const {
+  const std::uint64_t salt = StableHash(request.Text());
+  const FleetMember* best = nullptr;
+  std::uint64_t best_order = 0;
+  for (const auto& [id, member] : m_members) {
+    if (!IsRunning(member) || member.has_lost_backends || excluded.contains(member.caller_address))
+      continue;
+    const std::uint64_t order = StableHash(id.Text(), salt);
+    if (best != nullptr && order >= best_order) continue;
+    best = &member;
+    best_order = order;
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->caller_address);
+}
+
+void Fleet::AnnounceOwnMember() {
+  if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
+  BroadcastMember(OwnMember());
+  SendChangedMembers();
+}
+
 std::vector<const FleetMember*> Fleet::Candidates() const {
   std::vector<const FleetMember*> candidates;
   for (const auto& [id, member] : m_members)
@@ -130,7 +158,8 @@
     if (!is_from_coordinator) merged.is_alive = m_followers.contains(member.id);
     if (!is_from_coordinator && !is_new && !IsCoordinator()) merged.is_alive = old->second.is_alive;
     const bool is_changed = is_new || is_newer || old->second.is_leaving != member.is_leaving ||
-                            old->second.has_lost_store != member.has_lost_store;
+                            old->second.has_lost_store != member.has_lost_store ||
+                            old->second.has_lost_backends != member.has_lost_backends;
     m_members[member.id] = merged;
     // A restarted instance may be reachable at once.
     if (is_newer) m_dials[member.id].retry_at = {};
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -85,21 +85,25 @@
 
 void Fleet::Leave() {
   m_is_leaving = true;
-  if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
-  BroadcastMember(OwnMember());
-  SendChangedMembers();
+  AnnounceOwnMember();
   FlushOutboxes();
   ElectCoordinator();
 }
 
+void Fleet::SetLostBackends(bool has_lost_backends) {
+  m_has_lost_backends = has_lost_backends;
+  LogEvent(EventId::kFleetChanged,
+           {{"member", m_options.id.Text()},
+            {"state", has_lost_backends ? "without backend servers" : "with backend servers"}});
+  AnnounceOwnMember();
+}
+
 void Fleet::SetLostStore(bool has_lost_store) {
   if (m_has_lost_store == has_lost_store) return;
   m_has_lost_store = has_lost_store;
   LogEvent(EventId::kFleetChanged, {{"member", m_options.id.Text()},
                                     {"state", has_lost_store ? "without store" : "with store"}});
-  if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
-  BroadcastMember(OwnMember());
-  SendChangedMembers();
+  AnnounceOwnMember();
   ElectCoordinator();
 }
 
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include "fleet-codec.h"
 #include "gateway/decisions/coordinator.h"
 #include "gateway/decisions/decision-pace.h"
+#include "peer-directory.h"
 #include "peer/link.h"
 #include "relay.h"
 #include "state-transfer.h"
@@ -43,7 +44,7 @@
 /// restarted instance does not take the role back. The coordinator's state is soft: each follower
 /// reports its waiting and running requests to a new coordinator. An instance that cannot reach any
 /// other one decides by itself, on its share of the backend servers.
-class Fleet : public Dispatcher, private LinkHandler {
+class Fleet : public Dispatcher, public PeerDirectory, private LinkHandler {
  public:
   struct Events {
     /// A member was absent for too long; its registration must be removed from the store.
@@ -79,6 +80,10 @@
   /// Tells the other instances that this one stops, and yields the coordinator's role.
   void Leave();
 
+  /// Sets whether this instance reaches no backend server. The others name it to no caller then.
+  void SetLostBackends(bool has_lost_backends);
+  std::optional<Address> ChoosePeer(const AttemptId& request,
+                                    const std::set<Address>& excluded) const override;
   /// @param caller data centre of the caller; empty if unknown
   /// @return caller addresses of running instances
   std::vector<Address> CallerAddresses(const DataCentre& caller, std::size_t max_addresses) const;
@@ -152,6 +157,10 @@
   void RemoveAbsentMembers(TimePoint now);
   /// Sets whether only this instance has lost the store; it yields the coordinator's role if so.
   void SetLostStore(bool has_lost_store);
+  /// Tells the other instances what this one is.
+  void AnnounceOwnMember();
+  /// @return true if a member runs, as far as this instance knows
+  bool IsRunning(const FleetMember& member) const;
   std::vector<const FleetMember*> Candidates() const;
   FleetMember OwnMember() const;
   void SetAlive(const InstanceId& id, bool is_alive);
@@ -195,6 +204,7 @@
   std::uint64_t m_registration_revision = 0;
   bool m_is_leaving = false;
   bool m_has_lost_store = false;
+  bool m_has_lost_backends = false;
   bool m_has_majority = false;
   bool m_is_started = false;
   std::map<InstanceId, FleetMember> m_members;  ///< without this instance
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -612,7 +612,8 @@
     VT_IS_GONE = 22,
     VT_IS_DETACHED = 24,
     VT_PROCESSOR_SHARE = 26,
-    VT_REGISTERED_ERA = 28
+    VT_REGISTERED_ERA = 28,
+    VT_HAS_LOST_BACKENDS = 30
   };
   const flatbuffers::String *id() const { return GetPointer<const flatbuffers::String *>(VT_ID); }
   const flatbuffers::String *data_centre() const {
@@ -633,6 +634,7 @@
   bool is_detached() const { return GetField<uint8_t>(VT_IS_DETACHED, 0) != 0; }
   double processor_share() const { return GetField<double>(VT_PROCESSOR_SHARE, 0.0); }
   uint64_t registered_era() const { return GetField<uint64_t>(VT_REGISTERED_ERA, 0); }
+  bool has_lost_backends() const { return GetField<uint8_t>(VT_HAS_LOST_BACKENDS, 0) != 0; }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) && VerifyOffset(verifier, VT_DATA_CENTRE) &&
@@ -647,7 +649,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_GONE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_DETACHED, 1) &&
            VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
-           VerifyField<uint64_t>(verifier, VT_REGISTERED_ERA, 8) && verifier.EndTable();
+           VerifyField<uint64_t>(verifier, VT_REGISTERED_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LOST_BACKENDS, 1) && verifier.EndTable();
   }
 };
 
@@ -692,6 +695,10 @@
   void add_registered_era(uint64_t registered_era) {
     fbb_.AddElement<uint64_t>(RecordT::VT_REGISTERED_ERA, registered_era, 0);
   }
+  void add_has_lost_backends(bool has_lost_backends) {
+    fbb_.AddElement<uint8_t>(RecordT::VT_HAS_LOST_BACKENDS, static_cast<uint8_t>(has_lost_backends),
+                             0);
+  }
   explicit RecordTBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -708,7 +715,8 @@
     flatbuffers::Offset<flatbuffers::String> caller_ip = 0, uint16_t caller_port = 0,
     flatbuffers::Offset<flatbuffers::String> peer_ip = 0, uint16_t peer_port = 0,
     uint64_t registered = 0, bool is_alive = false, bool is_leaving = false, bool is_gone = false,
-    bool is_detached = false, double processor_share = 0.0, uint64_t registered_era = 0) {
+    bool is_detached = false, double processor_share = 0.0, uint64_t registered_era = 0,
+    bool has_lost_backends = false) {
   RecordTBuilder builder_(_fbb);
   builder_.add_registered_era(registered_era);
   builder_.add_processor_share(processor_share);
@@ -719,6 +727,7 @@
   builder_.add_id(id);
   builder_.add_peer_port(peer_port);
   builder_.add_caller_port(caller_port);
+  builder_.add_has_lost_backends(has_lost_backends);
   builder_.add_is_detached(is_detached);
   builder_.add_is_gone(is_gone);
   builder_.add_is_leaving(is_leaving);
@@ -731,14 +740,15 @@
     const char *data_centre = nullptr, const char *caller_ip = nullptr, uint16_t caller_port = 0,
     const char *peer_ip = nullptr, uint16_t peer_port = 0, uint64_t registered = 0,
     bool is_alive = false, bool is_leaving = false, bool is_gone = false, bool is_detached = false,
-    double processor_share = 0.0, uint64_t registered_era = 0) {
+    double processor_share = 0.0, uint64_t registered_era = 0, bool has_lost_backends = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto caller_ip__ = caller_ip ? _fbb.CreateString(caller_ip) : 0;
   auto peer_ip__ = peer_ip ? _fbb.CreateString(peer_ip) : 0;
   return bluebellpass::gateway::wire::CreateRecordT(
       _fbb, id__, data_centre__, caller_ip__, caller_port, peer_ip__, peer_port, registered,
-      is_alive, is_leaving, is_gone, is_detached, processor_share, registered_era);
+      is_alive, is_leaving, is_gone, is_detached, processor_share, registered_era,
+      has_lost_backends);
 }
 
 struct Submit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -90,6 +90,7 @@
             {"state", "gone"},
             {"revision", static_cast<std::int64_t>(NumberOf(object.revision))}});
   m_routing_state.RemoveBackend(id);
+  m_path_monitor.Remove(id);
   m_coordinator.RequestScheduler().RemoveBackend(id);
   m_coordinator.Rollouts().RemoveBackend(id, m_loop.Now());
   m_coordinator.Versions().RemoveBackend(id, m_loop.Now());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -52,6 +52,8 @@
 constexpr double kRetryBudgetFraction = 0.8;
 constexpr Millis kRetryBudgetUpdatePeriod{1'000};
 constexpr Millis kVersionRecordPeriod{200};
+// How long a backend server gets no work from any instance after one could not connect to it.
+constexpr Millis kUnreachableAvoidDuration{500};
 
 // Larger blocks of memory go back to the system when they are freed. By default the C library
 // raises this size with the blocks that are used, and keeps what was needed once.
@@ -181,6 +183,12 @@
                },
                [this] { m_backend_watch->Refresh(); }}),
       m_pool(m_loop, MakePoolOptions(m_buffer_memory)),
+      m_peer_pool(m_loop, MakePoolOptions(m_buffer_memory)),
+      m_path_monitor(m_loop, m_pool, m_routing_state,
+                     {[this](const BackendId& id) {
+                        m_fleet.AvoidBackend(id, kUnreachableAvoidDuration, true);
+                      },
+                      [this](bool is_stranded) { m_fleet.SetLostBackends(is_stranded); }}),
       m_caller_server(
           m_loop, MakeHttpLimits(m_settings, {}),
           [this](std::shared_ptr<HttpExchange> exchange) { OnRequest(std::move(exchange)); },
@@ -248,6 +256,7 @@
   m_budget_timer.StartPeriodic(kRetryBudgetUpdatePeriod, [this] { UpdateRetryBudgets(); });
   m_versions_timer.StartPeriodic(kVersionRecordPeriod, [this] { UpdateVersionRecord(); });
   StartWatches();
+  m_path_monitor.Start();
   Register();
   ReadFleetObjects();
   m_signal_timer.StartPeriodic(kSignalCheckPeriod, [this] { CheckSignals(); });
@@ -366,9 +375,20 @@
     return exchange->Send(kUnavailable,
                           m_platform.protocol->EncodeLocalResponse(id, kRetryAfterStopping), "");
   }
-  const CallContext context{m_loop,          *m_platform.protocol,     m_routing_state,   m_fleet,
-                            m_pool,          m_retry_budgets,          m_backend_notices, m_metrics,
-                            m_buffer_memory, m_coordinator.Rollouts(), m_caller_deadlines};
+  const CallContext context{m_loop,
+                            *m_platform.protocol,
+                            m_routing_state,
+                            m_fleet,
+                            m_pool,
+                            m_retry_budgets,
+                            m_backend_notices,
+                            m_metrics,
+                            m_buffer_memory,
+                            m_coordinator.Rollouts(),
+                            m_caller_deadlines,
+                            m_path_monitor,
+                            m_fleet,
+                            m_peer_pool};
   auto weak_call = std::make_shared<std::weak_ptr<Call>>();
   const auto call = std::make_shared<Call>(context, std::move(exchange), [this, weak_call] {
     if (const auto ended = weak_call->lock()) m_calls.erase(ended);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/state/backend-reports.h"
 #include "gateway/state/boot-clock.h"
 #include "gateway/state/object-watch.h"
+#include "gateway/state/path-monitor.h"
 #include "gateway/state/routing-state.h"
 #include "gateway/state/store-task.h"
 #include "gateway/streams/version-record.h"
@@ -122,8 +123,10 @@
   Coordinator m_coordinator;
   Fleet m_fleet;
   HttpConnectionPool m_pool;
+  HttpConnectionPool m_peer_pool;  ///< to other instances, for forwarded requests
   RetryBudgets m_retry_budgets;
   BackendNotices m_backend_notices;
+  PathMonitor m_path_monitor;
   BackendReports m_backend_reports;
   CallerDeadlines m_caller_deadlines;
   Http1Server m_caller_server;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -39,6 +39,11 @@
   /// that frame the body
   virtual std::vector<HttpField> EncodeBackendRequest(const HttpHead& head, const Address& backend,
                                                       const DispatchFields& fields) const = 0;
+  /// @param deadline that is left of the caller's; nullopt if it stated none
+  /// @return the header fields to send to another instance for a caller's request, except those
+  /// that frame the body
+  virtual std::vector<HttpField> EncodeForwardedRequest(const HttpHead& head,
+                                                        std::optional<Millis> deadline) const = 0;
   virtual ResponseFields DecodeResponse(const HttpHead& head) const = 0;
   /// @return the header fields of a backend server's response that are forwarded to the caller
   virtual std::vector<HttpField> EncodeResponse(const HttpHead& head) const = 0;
--- a/src/gateway/state/backend-notices.h
+++ b/src/gateway/state/backend-notices.h
@@ -8,8 +8,8 @@
 
 namespace bluebellpass::gateway {
 
-/// What backend servers have told this instance in their responses: that they are leaving, or that
-/// they want no requests from it for a while.
+/// Backend servers to which this instance sends nothing for a while: they have told it in their
+/// responses that they are leaving or want no requests from it, or it could not connect to them.
 class BackendNotices {
  public:
   /// @return true if the backend server was not held before
@@ -21,6 +21,10 @@
   bool SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
     return Hold(backend, std::min(retry_after, kMaxBusyHold), now);
   }
+  /// Records that this instance could not connect to the backend server.
+  void SetUnreachable(const BackendStart& backend, TimePoint now) {
+    Hold(backend, kUnreachableHold, now);
+  }
   /// Records a load report that could not be read.
   /// @return true if it is the first one of this start of the backend server
   bool SetInvalidLoad(const BackendStart& backend) {
@@ -49,6 +53,7 @@
   // Leaving servers exit some seconds after they have said so; a new start is another BackendStart.
   static constexpr Millis kLeavingHold{600'000};
   static constexpr Millis kMaxBusyHold{3'600'000};
+  static constexpr Millis kUnreachableHold{500};
   // Bound on the memory for backend servers that have left since.
   static constexpr std::size_t kMaxInvalidLoads = 4'000;
 
--- a/src/kernel/event.cc
+++ b/src/kernel/event.cc
@@ -119,6 +119,8 @@
               "the platform's store has come back from an older copy of itself"},
     EventInfo{kChangeIgnored, "change_ignored", kWarning,
               "an object that was read has an older version than is known"},
+    EventInfo{kRequestForwarded, "request_forwarded", kInfo,
+              "a request is sent to another instance, which serves it"},
 };
 
 constexpr std::size_t kMaxRecordedEvents = 20'000;
--- a/src/kernel/http1-pool.cc
+++ b/src/kernel/http1-pool.cc
@@ -285,7 +285,8 @@
   return call;
 }
 
-void HttpConnectionPool::Probe(const Address& address, std::function<void()> on_failure) {
+void HttpConnectionPool::Probe(const Address& address,
+                               std::function<void(bool is_connected)> done) {
   struct State {
     explicit State(EventLoop& loop) : timer(loop) {}
     std::shared_ptr<TcpStream> stream;
@@ -294,22 +295,24 @@
   ++m_impl->stats.connects;
   // The callbacks keep the state until one of them has ended the probe.
   auto state = std::make_shared<State>(m_impl->loop);
-  const auto fail = [impl = m_impl, state, on_failure = std::move(on_failure)] {
+  const auto fail = [impl = m_impl, state, done] {
     const auto stream = std::exchange(state->stream, nullptr);
     if (!stream) return;
     state->timer.Stop();
     stream->Close();
     ++impl->stats.connect_failures;
     impl->loop.Post([stream, state] {});
-    on_failure();
+    done(false);
   };
-  state->stream = TcpStream::Connect(
-      m_impl->loop, address, m_impl->options.keep_alive, [impl = m_impl, state, address] {
-        if (!state->stream) return;
-        state->timer.Stop();
-        impl->AddIdle(address, std::exchange(state->stream, nullptr), impl->options.idle_timeout);
-        impl->loop.Post([state] {});
-      });
+  state->stream = TcpStream::Connect(m_impl->loop, address, m_impl->options.keep_alive,
+                                     [impl = m_impl, state, address, done = std::move(done)] {
+                                       if (!state->stream) return;
+                                       state->timer.Stop();
+                                       impl->AddIdle(address, std::exchange(state->stream, nullptr),
+                                                     impl->options.idle_timeout);
+                                       impl->loop.Post([state] {});
+                                       done(true);
+                                     });
   state->stream->OnEnd([fail](StreamEndReason) { fail(); });
   state->timer.Start(m_impl->options.connect_timeout, fail);
 }
--- a/src/kernel/http1-pool.h
+++ b/src/kernel/http1-pool.h
@@ -81,8 +81,8 @@
                                         PooledCallHandlers handlers,
                                         bool use_new_connection = false);
   /// Opens a connection, which is kept for a later call.
-  /// @param on_failure called if no connection can be established
-  void Probe(const Address& address, std::function<void()> on_failure);
+  /// @param done called with whether the connection was established
+  void Probe(const Address& address, std::function<void(bool is_connected)> done);
   /// Closes the idle connections to an address.
   void CloseIdle(const Address& address);
   /// @return true if there is an idle connection to the address
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -334,6 +334,37 @@
   BOOST_TEST((decisions.limit_changes[0].limit == FailureLimit::kTrialsOnly));
 }
 
+// Guards against backend servers that lose their standing because one instance has lost its path to
+// all of them.
+BOOST_FIXTURE_TEST_CASE(SilenceToOneInstanceIsNoFaultOfTheBackends, Fixture) {
+  const std::vector<std::string> backends = {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"};
+  for (const std::string& id : backends)
+    scheduler.SetBackend(BackendOf(id, "chat", 8), &engine_service);
+  const auto grant_on = [&](const std::string& backend, const std::string& home, int number) {
+    RequestInfo request = RequestOf(home + backend + std::to_string(number));
+    request.home = InstanceId(home);
+    for (const std::string& other : backends)
+      if (other != backend) request.excluded_backends.insert(BackendId(other));
+    scheduler.AddRequest(request);
+    BOOST_TEST(Decide().size() == 1U);
+    return request.id;
+  };
+  std::vector<AttemptId> silent;
+  for (const char* backend : {"a", "b", "c"})
+    for (int i = 0; i < 3; ++i) silent.push_back(grant_on(backend, "stranded", i));
+  for (const std::string& backend : backends)
+    scheduler.RecordFirstEvent(grant_on(backend, "sound", 0), Millis{10}, kStart + Millis{900});
+  scheduler.AddRequest(RequestOf("next"));
+  const TimePoint later = kStart + Millis{1'500};
+  Decide(later);
+  BOOST_TEST(decisions.limit_changes.empty());
+  for (const AttemptId& id : silent)
+    scheduler.ReleaseRun(id, RunReport{RunOutcome::kCancelled, {}, {}}, later);
+  scheduler.AddRequest(RequestOf("after"));
+  Decide(later + Millis{300});
+  BOOST_TEST(decisions.limit_changes.empty());
+}
+
 // Guards against occupying scarce slots with runs that will be cut off at their deadline.
 BOOST_FIXTURE_TEST_CASE(RequestThatWouldMissItsDeadlineGetsNoScarceSlot, Fixture) {
   scheduler.SetBackend(BackendOf("a", "chat", 1), &engine_service);
--- a/test/http1-pool-test.cc
+++ b/test/http1-pool-test.cc
@@ -266,11 +266,11 @@
 // Guards against a probe that misses a server that is gone, or wastes the connection it has opened.
 BOOST_FIXTURE_TEST_CASE(ProbeReportsFailureAndKeepsConnection, Fixture) {
   bool has_failed = false;
-  pool.Probe(server.address, [&] { has_failed = true; });
+  pool.Probe(server.address, [&](bool is_connected) { has_failed = !is_connected; });
   BOOST_TEST(RunUntil([&] { return pool.HasIdleConnection(server.address); }));
   BOOST_TEST(!has_failed);
   const Address closed{"127.0.0.1", 1};
-  pool.Probe(closed, [&] { has_failed = true; });
+  pool.Probe(closed, [&](bool is_connected) { has_failed = !is_connected; });
   BOOST_TEST(RunUntil([&] { return has_failed; }));
   BOOST_TEST(!pool.HasIdleConnection(closed));
   BOOST_TEST(pool.Stats().connect_failures == 1U);
--- a/test/standins/proxy.cc
+++ b/test/standins/proxy.cc
@@ -134,10 +134,11 @@
 
 void Proxy::Connection::OnBytes(Endpoint& from, const std::string& bytes) {
   if (is_silenced || bytes.empty()) return;
+  const bool is_response = from.index == kTarget;
   Endpoint& to = endpoints[1 - from.index];
   TimePoint due = proxy.m_loop.Now() + proxy.m_delay;
   if (!to.queue.empty()) due = std::max(due, to.queue.back().due);
-  to.queue.push_back({due, bytes});
+  to.queue.push_back({due, is_response ? proxy.Replaced(bytes) : bytes});
   to.queued_bytes += bytes.size();
   if (to.queued_bytes >= kMaxQueuedBytes) h2o_socket_read_stop(from.socket);
   WriteDueChunks(to);
@@ -226,8 +227,20 @@
         HandleControl(request, *responder);
       }) {}
 
-Proxy::~Proxy() {
+void Proxy::StopListening() {
   if (m_listener != nullptr) h2o_socket_close(static_cast<h2o_socket_t*>(m_listener));
+  m_listener = nullptr;
+}
+
+std::string Proxy::Replaced(std::string bytes) const {
+  for (const auto& [text, replacement] : m_replacements)
+    for (std::size_t at = bytes.find(text); at != std::string::npos; at = bytes.find(text, at))
+      bytes.replace(at, text.size(), replacement);
+  return bytes;
+}
+
+Proxy::~Proxy() {
+  StopListening();
   const auto connections = m_connections;
   for (const auto& [id, connection] : connections) connection->Close(true);
 }
--- a/test/standins/proxy.h
+++ b/test/standins/proxy.h
@@ -42,6 +42,14 @@
   /// limit
   void SetDropAfterBytes(std::uint64_t bytes) { m_reset_after_bytes = bytes; }
 
+  /// Replaces texts in what the target sends. Each has the length of its replacement; one that is
+  /// split between two reads is missed.
+  void SetReplacements(std::map<std::string, std::string> replacements) {
+    m_replacements = std::move(replacements);
+  }
+  /// Closes the port, so that new connections are refused. Existing ones stay.
+  void StopListening();
+
   /// @return number of connections of which at least one side is open
   std::size_t ConnectionCount() const { return m_connections.size(); }
 
@@ -51,6 +59,7 @@
 
   void HandleControl(const HttpRequest& request, HttpResponder& responder);
   void OpenConnection(void* client);
+  std::string Replaced(std::string bytes) const;
   void RemoveConnection(std::uint64_t id);
 
   EventLoop& m_loop;
@@ -58,6 +67,7 @@
   ProxyMode m_mode = ProxyMode::kPass;
   Millis m_delay{0};
   std::uint64_t m_reset_after_bytes = 0;
+  std::map<std::string, std::string> m_replacements;
   std::uint64_t m_next_id = 1;
   void* m_listener = nullptr;
   std::map<std::uint64_t, std::shared_ptr<Connection>> m_connections;
