Bound the requests that a brittle backend server may turn away

Cause: what a backend server states in its responses about the requests that it can turn away was not read. The coordinator granted as many at once as it believed slots to be free, though the backend server may have less room, or hold runs that no instance knows of. Class: a limit of another system is not known to the part that decides. Ruled out: a longer pause after a refusal, since what is on its way is turned away too. Change: instances report the number and each refusal to the coordinator, which keeps refusals of the last second and requests that are not accepted yet below it. Schedulers that share slots share the number.

--- a/include/bluebellpass/gateway/model.h
+++ b/include/bluebellpass/gateway/model.h
@@ -150,6 +150,13 @@
   std::optional<std::uint64_t> last_event_id;  ///< the stream continues after this event
 };
 
+/// What a backend server has said of the requests that it turns away for want of room.
+struct RejectionReport {
+  /// It fails if it has to turn away more in a second; nullopt if it states no number.
+  std::optional<int> limit_per_s;
+  bool was_rejected = false;  ///< it has turned away a request
+};
+
 /// Fields of a backend server's response.
 struct ResponseFields {
   bool has_id = false;
@@ -159,6 +166,8 @@
   bool is_leaving = false;        ///< the backend server will exit soon and wants no requests
   /// With a refusal: the backend server wants no requests from this instance for so long.
   std::optional<Millis> retry_after;
+  /// The backend server fails if it has to turn away more requests in a second.
+  std::optional<int> rejection_limit_per_s;
   struct Load {
     int running = 0;
     int waiting = 0;
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -279,6 +279,12 @@
   if (response.retry_after &&
       m_context.backend_notices.SetBusy(m_backend_start, *response.retry_after, now))
     LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
+  const bool was_rejected = response.is_not_run && !response.is_wrong_backend;
+  const bool is_changed =
+      m_context.backend_notices.SetRejectionLimit(m_backend_start, response.rejection_limit_per_s);
+  if (is_changed || (was_rejected && response.rejection_limit_per_s))
+    m_context.dispatcher.ReportRejections(m_backend_id,
+                                          {response.rejection_limit_per_s, was_rejected});
   if (!response.has_invalid_load) return;
   m_context.metrics.IncrementCounter("gateway_invalid_load_reports", "");
   if (m_context.backend_notices.SetInvalidLoad(m_backend_start))
--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -95,13 +95,38 @@
 }
 
 int Scheduler::GrantableSlots(const TrackedBackend& state) const {
-  const auto slots = static_cast<std::size_t>(std::max(state.backend.slots, 1));
-  if (m_share_count == 1) return static_cast<int>(slots);
+  return ShareOf(state.backend.id, std::max(state.backend.slots, 1));
+}
+
+int Scheduler::ShareOf(const BackendId& id, int number) const {
+  if (m_share_count == 1) return number;
+  const auto whole = static_cast<std::size_t>(number);
   // The remainder goes to different instances for different backend servers, so that no instance
   // has more than its share.
-  const std::size_t position =
-      (m_share_index + StableHash(state.backend.id.Text())) % m_share_count;
-  return static_cast<int>(slots / m_share_count + (position < slots % m_share_count ? 1 : 0));
+  const std::size_t position = (m_share_index + StableHash(id.Text())) % m_share_count;
+  return static_cast<int>(whole / m_share_count + (position < whole % m_share_count ? 1 : 0));
+}
+
+void Scheduler::LimitUnconfirmed(Capacity& capacity, TimePoint now) {
+  if (m_rejection_guards.empty()) return;
+  std::map<BackendId, int> unconfirmed;
+  for (const auto& [id, run] : m_runs)
+    if (run.is_prefilling && now - run.started < RejectionGuard::kConfirmTime)
+      ++unconfirmed[run.backend];
+  for (auto* list : {&capacity.open, &capacity.probes, &capacity.ending}) {
+    for (OpenBackend& open : *list) {
+      const Backend& backend = open.state->backend;
+      const auto guard = m_rejection_guards.find(backend.Start());
+      if (guard == m_rejection_guards.end()) continue;
+      // A backend server that tolerates none would otherwise get no request at all.
+      const int limit = ShareOf(backend.id, std::max(guard->second.Limit(), 1));
+      const int allowance = guard->second.Allowance(limit, unconfirmed[backend.id], now);
+      const int slots = std::min(open.slots, open.state->running + allowance);
+      capacity.is_guarded = capacity.is_guarded || slots < open.slots;
+      open.slots = slots;
+    }
+    std::erase_if(*list, [](const OpenBackend& open) { return open.IsFull(); });
+  }
 }
 
 Scheduler::Capacity Scheduler::CapacityOf(const ServiceName& service, TimePoint now,
@@ -484,6 +509,7 @@
 void Scheduler::DecideForService(const ServiceName& service, std::vector<WaitingRequest*> queue,
                                  TimePoint now, AdmissionControl& admission, Decisions& decisions) {
   Capacity capacity = CapacityOf(service, now, decisions);
+  LimitUnconfirmed(capacity, now);
   if (!capacity.has_backends) {
     // Only streams may go on, at a version that gets no other requests.
     const std::size_t queue_size = queue.size();
@@ -539,7 +565,7 @@
     if (capacity.is_plain && !ranked.is_late)
       DecideBy(request.arrived + request.latency_objective - ToMillis(response_ms));
     // Engines may be able to take more requests once a prefill ends, before any run does.
-    if (capacity.free_slots > 0) DecideBy(now + kPrefillRecheckPeriod);
+    if (capacity.free_slots > 0 || capacity.is_guarded) DecideBy(now + kPrefillRecheckPeriod);
   }
 }
 
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -67,6 +67,22 @@
     found->second.avoid_until = std::max(found->second.avoid_until, until);
 }
 
+void Scheduler::RecordRejections(const BackendId& id, const RejectionReport& report,
+                                 TimePoint now) {
+  const auto found = m_backends.find(id);
+  if (found == m_backends.end()) return;
+  const BackendStart start = found->second.backend.Start();
+  if (!report.limit_per_s) {
+    m_rejection_guards.erase(start);
+    return;
+  }
+  std::erase_if(m_rejection_guards,
+                [&](const auto& entry) { return entry.first.id == id && entry.first != start; });
+  RejectionGuard& guard = m_rejection_guards[start];
+  guard.SetLimit(*report.limit_per_s);
+  if (report.was_rejected) guard.RecordRejection(now);
+}
+
 void Scheduler::AddRequest(RequestInfo request) {
   if (m_waiting.contains(request.id) || m_runs.contains(request.id)) return;
   const AttemptId id = request.id;
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -16,6 +16,7 @@
 #include "crash-records.h"
 #include "failure-rate.h"
 #include "gateway/rollout/rollout-controller.h"
+#include "rejection-guard.h"
 #include "service-load.h"
 #include "size-balance.h"
 #include "speed-model.h"
@@ -182,6 +183,8 @@
 /// - Requests of plain services state no size, so the time that they occupy a slot is learned.
 /// - Requests that will be late yield to new ones, and are refused at once while new ones take all
 ///   slots. This handles bursts for which waiting would only make all requests late.
+/// - A backend server that states how many requests it can turn away gets no more at a time than
+///   that, until it has accepted them. This handles ones that fail while their room shrinks.
 /// - A request that cannot start before its caller disconnects is refused as soon as that is known,
 ///   mostly on arrival, with the time after which the queue will have drained. This handles bursts
 ///   above the capacity.
@@ -198,6 +201,8 @@
   void RemoveBackend(const BackendId& id);
   /// Grants no requests to a backend server until a time, after it failed.
   void AvoidBackend(const BackendId& id, TimePoint until);
+  /// Records what a backend server says of the requests that it turns away.
+  void RecordRejections(const BackendId& id, const RejectionReport& report, TimePoint now);
   /// @return the current start of a backend server
   BackendStart StartOf(const BackendId& id) const;
   /// @return the granted request, or null
@@ -304,6 +309,7 @@
     std::vector<OpenBackend> probes;
     /// The same of a version that only continues streams.
     std::vector<OpenBackend> ending;
+    bool is_guarded = false;  ///< some may get more requests once they have accepted others
     bool has_backends = false;
     int free_slots = 0;
     int slots = 0;
@@ -319,6 +325,10 @@
   /// @return true if a backend server may continue a stream of the version now or soon
   bool HasVersion(const ServiceName& service, const SoftwareVersion& version, TimePoint now) const;
   int GrantableSlots(const TrackedBackend& state) const;
+  /// @return this scheduler's share of a number that holds for a backend server
+  int ShareOf(const BackendId& id, int number) const;
+  /// Limits the slots of backend servers that fail if they have to turn away too many requests.
+  void LimitUnconfirmed(Capacity& capacity, TimePoint now);
   /// Determines the capacity and reports changes of failure limits.
   Capacity CapacityOf(const ServiceName& service, TimePoint now, Decisions& decisions);
   double SlotTimeMs(const RequestInfo& request, const SpeedModel& speed) const;
@@ -416,6 +426,8 @@
   std::map<AttemptId, Run> m_runs;
   std::map<InstanceId, std::set<AttemptId>> m_requests_by_home;  ///< waiting or running
   std::map<InstanceId, TimePoint> m_last_response_by_home;
+  /// Of backend servers that state how many requests they can turn away.
+  std::map<BackendStart, RejectionGuard> m_rejection_guards;
   std::map<RequestKind, SizeBalance> m_size_balances;
   std::map<ServiceName, ServiceLoad> m_loads;
   double m_prefill_ratio = kInitialPrefillRatio;
--- a/src/gateway/fleet/dispatcher.h
+++ b/src/gateway/fleet/dispatcher.h
@@ -34,6 +34,8 @@
   /// Stops granting work to a backend server for a while.
   /// @param is_unreachable true when no connection to it could be established
   virtual void AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) = 0;
+  /// Reports what a backend server has said of the requests that it turns away.
+  virtual void ReportRejections(const BackendId& id, const RejectionReport& report) = 0;
 };
 
 }  // namespace bluebellpass::gateway
--- a/src/gateway/fleet/fleet-codec.cc
+++ b/src/gateway/fleet/fleet-codec.cc
@@ -46,9 +46,13 @@
                 .Union()};
   }
   Item operator()(const AvoidBackendMessage& message) {
-    return {wire::Item_Avoid, wire::CreateAvoid(m_builder, Encode(message.backend),
-                                                message.duration.count(), message.is_unreachable)
-                                  .Union()};
+    const auto& rejections = message.rejections;
+    return {wire::Item_Avoid,
+            wire::CreateAvoid(m_builder, Encode(message.backend), message.duration.count(),
+                              message.is_unreachable, rejections.has_value(),
+                              rejections ? rejections->limit_per_s.value_or(-1) : -1,
+                              rejections && rejections->was_rejected)
+                .Union()};
   }
   Item operator()(const SyncRequestsMessage& message) {
     std::vector<Offset<wire::WorkT>> waiting;
@@ -235,9 +239,7 @@
       case wire::Item_Release:
         return Decode(*message.item_as_Release());
       case wire::Item_Avoid:
-        return AvoidBackendMessage{DecodeId<BackendId>(message.item_as_Avoid()->backend()),
-                                   DecodeMillis(message.item_as_Avoid()->duration_ms()),
-                                   message.item_as_Avoid()->is_unreachable()};
+        return Decode(*message.item_as_Avoid());
       case wire::Item_Sync:
         return Decode(*message.item_as_Sync());
       case wire::Item_Grant:
@@ -311,6 +313,18 @@
       message.bytes.assign(table.bytes()->begin(), table.bytes()->end());
     return message;
   }
+  AvoidBackendMessage Decode(const wire::Avoid& table) {
+    AvoidBackendMessage message{DecodeId<BackendId>(table.backend()),
+                                DecodeMillis(table.duration_ms()),
+                                table.is_unreachable(),
+                                {}};
+    if (!table.has_rejections()) return message;
+    message.rejections.emplace();
+    if (table.rejection_limit_per_s() >= 0)
+      message.rejections->limit_per_s = table.rejection_limit_per_s();
+    message.rejections->was_rejected = table.was_rejected();
+    return message;
+  }
   ReleaseRunMessage Decode(const wire::Release& table) {
     ReleaseRunMessage message;
     message.id = DecodeId<AttemptId>(table.id());
--- a/src/gateway/fleet/fleet-codec.h
+++ b/src/gateway/fleet/fleet-codec.h
@@ -64,6 +64,7 @@
   BackendId backend;
   Millis duration{0};
   bool is_unreachable = false;
+  std::optional<RejectionReport> rejections;  ///< nullopt if this message says nothing of them
 };
 /// All waiting and running requests of an instance, and what it was granted in the last quota
 /// window, sent over a new link.
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -360,6 +360,8 @@
   } else if (const auto* avoid = std::get_if<AvoidBackendMessage>(&message)) {
     m_coordinator.RequestScheduler().AvoidBackend(avoid->backend, now + avoid->duration);
     if (avoid->is_unreachable) m_coordinator.OnBackendUnreachable(avoid->backend, now);
+    if (avoid->rejections)
+      m_coordinator.RequestScheduler().RecordRejections(avoid->backend, *avoid->rejections, now);
   } else if (auto* sync = std::get_if<SyncRequestsMessage>(&message)) {
     OnSyncRequests(follower, std::move(*sync));
   } else if (const auto* crashes = std::get_if<CrashesMessage>(&message)) {
@@ -521,6 +523,11 @@
   m_coordinator.RequestScheduler().AvoidBackend(id, m_loop.Now() + duration);
 }
 
+void Fleet::ReportRejections(const BackendId& id, const RejectionReport& report) {
+  if (!IsCoordinator()) return SendToCoordinator(AvoidBackendMessage{id, {}, false, report});
+  m_coordinator.RequestScheduler().RecordRejections(id, report, m_loop.Now());
+}
+
 void Fleet::DeliverGrant(const AttemptId& id, const BackendId& backend,
                          const std::optional<SoftwareVersion>& version) {
   const auto found = m_requests.find(id);
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -104,6 +104,7 @@
   void RecordFirstEvent(const AttemptId& id, const SoftwareVersion& version,
                         Millis time_to_first_event) override;
   void AvoidBackend(const BackendId& id, Millis duration, bool is_unreachable) override;
+  void ReportRejections(const BackendId& id, const RejectionReport& report) override;
 
   /// Sends a changed object of the platform's store to the followers.
   void AnnounceObject(ObjectKind kind, const StoredObject& object);
--- a/src/gateway/fleet/fleet_generated.h
+++ b/src/gateway/fleet/fleet_generated.h
@@ -1075,17 +1075,26 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BACKEND = 4,
     VT_DURATION_MS = 6,
-    VT_IS_UNREACHABLE = 8
+    VT_IS_UNREACHABLE = 8,
+    VT_HAS_REJECTIONS = 10,
+    VT_REJECTION_LIMIT_PER_S = 12,
+    VT_WAS_REJECTED = 14
   };
   const flatbuffers::String *backend() const {
     return GetPointer<const flatbuffers::String *>(VT_BACKEND);
   }
   int64_t duration_ms() const { return GetField<int64_t>(VT_DURATION_MS, 0); }
   bool is_unreachable() const { return GetField<uint8_t>(VT_IS_UNREACHABLE, 0) != 0; }
+  bool has_rejections() const { return GetField<uint8_t>(VT_HAS_REJECTIONS, 0) != 0; }
+  int32_t rejection_limit_per_s() const { return GetField<int32_t>(VT_REJECTION_LIMIT_PER_S, -1); }
+  bool was_rejected() const { return GetField<uint8_t>(VT_WAS_REJECTED, 0) != 0; }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_BACKEND) &&
            verifier.VerifyString(backend()) && VerifyField<int64_t>(verifier, VT_DURATION_MS, 8) &&
-           VerifyField<uint8_t>(verifier, VT_IS_UNREACHABLE, 1) && verifier.EndTable();
+           VerifyField<uint8_t>(verifier, VT_IS_UNREACHABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_REJECTIONS, 1) &&
+           VerifyField<int32_t>(verifier, VT_REJECTION_LIMIT_PER_S, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WAS_REJECTED, 1) && verifier.EndTable();
   }
 };
 
@@ -1102,6 +1111,15 @@
   void add_is_unreachable(bool is_unreachable) {
     fbb_.AddElement<uint8_t>(Avoid::VT_IS_UNREACHABLE, static_cast<uint8_t>(is_unreachable), 0);
   }
+  void add_has_rejections(bool has_rejections) {
+    fbb_.AddElement<uint8_t>(Avoid::VT_HAS_REJECTIONS, static_cast<uint8_t>(has_rejections), 0);
+  }
+  void add_rejection_limit_per_s(int32_t rejection_limit_per_s) {
+    fbb_.AddElement<int32_t>(Avoid::VT_REJECTION_LIMIT_PER_S, rejection_limit_per_s, -1);
+  }
+  void add_was_rejected(bool was_rejected) {
+    fbb_.AddElement<uint8_t>(Avoid::VT_WAS_REJECTED, static_cast<uint8_t>(was_rejected), 0);
+  }
   explicit AvoidBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1114,21 +1132,28 @@
 
 inline flatbuffers::Offset<Avoid> CreateAvoid(flatbuffers::FlatBufferBuilder &_fbb,
                                               flatbuffers::Offset<flatbuffers::String> backend = 0,
-                                              int64_t duration_ms = 0,
-                                              bool is_unreachable = false) {
+                                              int64_t duration_ms = 0, bool is_unreachable = false,
+                                              bool has_rejections = false,
+                                              int32_t rejection_limit_per_s = -1,
+                                              bool was_rejected = false) {
   AvoidBuilder builder_(_fbb);
   builder_.add_duration_ms(duration_ms);
+  builder_.add_rejection_limit_per_s(rejection_limit_per_s);
   builder_.add_backend(backend);
+  builder_.add_was_rejected(was_rejected);
+  builder_.add_has_rejections(has_rejections);
   builder_.add_is_unreachable(is_unreachable);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<Avoid> CreateAvoidDirect(flatbuffers::FlatBufferBuilder &_fbb,
-                                                    const char *backend = nullptr,
-                                                    int64_t duration_ms = 0,
-                                                    bool is_unreachable = false) {
+inline flatbuffers::Offset<Avoid> CreateAvoidDirect(
+    flatbuffers::FlatBufferBuilder &_fbb, const char *backend = nullptr, int64_t duration_ms = 0,
+    bool is_unreachable = false, bool has_rejections = false, int32_t rejection_limit_per_s = -1,
+    bool was_rejected = false) {
   auto backend__ = backend ? _fbb.CreateString(backend) : 0;
-  return bluebellpass::gateway::wire::CreateAvoid(_fbb, backend__, duration_ms, is_unreachable);
+  return bluebellpass::gateway::wire::CreateAvoid(_fbb, backend__, duration_ms, is_unreachable,
+                                                  has_rejections, rejection_limit_per_s,
+                                                  was_rejected);
 }
 
 struct GrantedT FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -180,6 +180,7 @@
                [this](bool is_remote) {
                  m_relay->OnCoordinatorChanged(is_remote);
                  m_version_record.Reset();
+                 m_backend_notices.ForgetRejectionLimits();
                },
                [this] { m_backend_watch->Refresh(); }}),
       m_pool(m_loop, MakePoolOptions(m_buffer_memory)),
--- a/src/gateway/state/backend-notices.h
+++ b/src/gateway/state/backend-notices.h
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 #include "bluebellpass/gateway/model.h"
 
@@ -21,6 +23,18 @@
   bool SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
     return Hold(backend, std::min(retry_after, kMaxBusyHold), now);
   }
+  /// Records how many requests the backend server can turn away in a second.
+  /// @return true if it has said otherwise before, or nothing since ForgetRejectionLimits
+  bool SetRejectionLimit(const BackendStart& backend, std::optional<int> per_second) {
+    if (!per_second) return m_rejection_limits.erase(backend) != 0;
+    std::erase_if(m_rejection_limits, [&](const auto& entry) {
+      return entry.first.id == backend.id && entry.first != backend;
+    });
+    const auto [found, is_new] = m_rejection_limits.try_emplace(backend, *per_second);
+    return is_new || std::exchange(found->second, *per_second) != *per_second;
+  }
+  /// A new coordinator is to be told of all.
+  void ForgetRejectionLimits() { m_rejection_limits.clear(); }
   /// Records that this instance could not connect to the backend server.
   void SetUnreachable(const BackendStart& backend, TimePoint now) {
     Hold(backend, kUnreachableHold, now);
@@ -67,6 +81,7 @@
   }
 
   std::map<BackendStart, TimePoint> m_held_until;
+  std::map<BackendStart, int> m_rejection_limits;    ///< per second
   std::map<BackendId, BackendStart> m_invalid_load;  ///< starts whose invalid reports are known
 };
 
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -59,7 +59,7 @@
       WithdrawMessage{AttemptId("a2")},
       FirstEventMessage{AttemptId("a3"), SoftwareVersion("v2"), Millis{12}},
       ReleaseRunMessage{AttemptId("a4"), report},
-      AvoidBackendMessage{BackendId("b"), Millis{500}, true},
+      AvoidBackendMessage{BackendId("b"), Millis{500}, true, RejectionReport{3, true}},
       SyncRequestsMessage{{SampleRequest()},
                           {{SampleRequest(), BackendId("b"), false}},
                           {{{OrganisationId("o"), kNow - Millis{600}, 2.5}}, Millis{7'000}, 0.25}},
@@ -118,7 +118,11 @@
   BOOST_TEST((report.outcome == RunOutcome::kLost));
   BOOST_TEST((report.time_to_first_event == Millis{90}));
   BOOST_TEST(*report.event_gap_ms == 15.5);
-  BOOST_TEST(std::get<AvoidBackendMessage>(messages[4]).is_unreachable);
+  const auto& avoid = std::get<AvoidBackendMessage>(messages[4]);
+  BOOST_TEST(avoid.is_unreachable);
+  BOOST_REQUIRE(avoid.rejections.has_value());
+  BOOST_TEST((avoid.rejections->limit_per_s == 3));
+  BOOST_TEST(avoid.rejections->was_rejected);
   const auto& sync = std::get<SyncRequestsMessage>(messages[5]);
   BOOST_TEST(sync.waiting.size() == 1U);
   BOOST_TEST(!sync.running.at(0).is_prefilling);
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -365,6 +365,42 @@
   BOOST_TEST(decisions.limit_changes.empty());
 }
 
+// Guards against a backend server that fails because it has to turn away all that it is granted at
+// once, and against one that gets nothing once it has accepted what it was sent.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedRequestsStayBelowTheRejectionLimit, Fixture) {
+  const BackendId id("a");
+  scheduler.SetBackend(BackendOf("a", "chat", 8), &engine_service);
+  scheduler.RecordRejections(id, {3, false}, kStart);
+  for (int i = 0; i < 8; ++i) scheduler.AddRequest(RequestOf("w" + std::to_string(i)));
+  BOOST_TEST(Decide().size() == 3U);
+  scheduler.RecordFirstEvent(decisions.grants[0].id, Millis{10}, kStart);
+  scheduler.ReleaseRun(decisions.grants[1].id, {}, kStart);
+  scheduler.RecordRejections(id, {3, true}, kStart);
+  BOOST_TEST(Decide().size() == 1U);
+  // All but the rejected one count as accepted, since a refusal would be known by now.
+  TimePoint now = kStart + RejectionGuard::kConfirmTime;
+  BOOST_TEST(Decide(now).size() == 2U);
+  now = kStart + Millis{1'300};
+  scheduler.RecordRejections(id, {0, false}, now);
+  BOOST_TEST(Decide(now).size() == 1U);
+  scheduler.RecordRejections(id, {std::nullopt, false}, now);
+  BOOST_TEST(Decide(now).size() == 1U);
+}
+
+// Guards against schedulers that each use the whole limit.
+BOOST_FIXTURE_TEST_CASE(RejectionLimitIsShared, Fixture) {
+  std::size_t granted = 0;
+  for (std::size_t index = 0; index < 3; ++index) {
+    Scheduler part;
+    part.SetShare(index, 3);
+    part.SetBackend(BackendOf("a", "chat", 9), &engine_service);
+    part.RecordRejections(BackendId("a"), {4, false}, kStart);
+    for (int i = 0; i < 5; ++i) part.AddRequest(RequestOf("w" + std::to_string(i)));
+    granted += part.Decide(kStart, admission).grants.size();
+  }
+  BOOST_TEST(granted == 4U);
+}
+
 // Guards against occupying scarce slots with runs that will be cut off at their deadline.
 BOOST_FIXTURE_TEST_CASE(RequestThatWouldMissItsDeadlineGetsNoScarceSlot, Fixture) {
   scheduler.SetBackend(BackendOf("a", "chat", 1), &engine_service);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -197,6 +197,10 @@
   BOOST_TEST(!response.is_leaving);
   BOOST_TEST(decode(200, {{"Server-Leaving", "1"}}).is_leaving);
   BOOST_TEST(!decode(200, {{"Server-Leaving", "0"}}).is_leaving);
+  BOOST_TEST((decode(200, {{"Server-Brittle", "4"}}).rejection_limit_per_s == 4));
+  BOOST_TEST((decode(503, {{"Server-Brittle", "0"}}).rejection_limit_per_s == 0));
+  for (const char* value : {"-1", "x", "", "1.5"})
+    BOOST_TEST(!decode(200, {{"Server-Brittle", value}}).rejection_limit_per_s.has_value(), value);
   BOOST_TEST((decode(503, {{"Retry-After", "1.25"}}).retry_after == Millis{1'250}));
   BOOST_TEST((decode(503, {{"Retry-After", "3"}}).retry_after == Millis{3'000}));
   for (const char* value : {"", "-1", "soon", "1e300", "nan", "inf"})
--- a/test/soak/engine-standin.cc
+++ b/test/soak/engine-standin.cc
@@ -46,16 +46,16 @@
 void EngineStandin::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   const HttpHead& head = exchange->Head();
   const std::string request_id = head.Value(names::kAttempt);
+  if (m_loop.Now() < m_down_until) return exchange->Abort();
   if (head.Value(names::kExpectedBackend) != m_id)
-    return exchange->Send(421, {{"Instance", m_id}}, "");
-  std::erase_if(m_open_exchanges, [](const auto& open) { return !open->IsOpen(); });
-  if (static_cast<int>(m_open_exchanges.size()) >= m_slots)
-    return exchange->Send(503, {{names::kNotRun, "1"}, {names::kAttempt, request_id}}, "");
+    return exchange->Send(421, WithNotices({{"Instance", m_id}}), "");
+  std::erase_if(m_open_exchanges, [this](const auto& open) { return HasEnded(open); });
+  if (static_cast<int>(m_open_exchanges.size()) >= m_slots) return Reject(exchange, request_id);
   m_on_run({request_id, m_id, head.Value(names::kOrganisation), head.Value(names::kApiKey),
             head.target, m_loop.Now(), head.Value(names::kLastEventId), m_version});
   m_open_exchanges.insert(exchange);
-  const std::vector<HttpField> fields = {{names::kAttempt, request_id},
-                                         {names::kSignature, SignatureOf(m_id, request_id)}};
+  const std::vector<HttpField> fields = WithNotices(
+      {{names::kAttempt, request_id}, {names::kSignature, SignatureOf(m_id, request_id)}});
   if (static_cast<int>(++m_run_count * 37 % 100) < m_failure_percent) {
     m_open_exchanges.erase(exchange);
     // Half of the failures are error responses, the others abort the connection.
@@ -75,15 +75,37 @@
                       m_version, first);
   }
   m_loop.RunAfter(m_response_delay, [this, exchange, fields, request_id] {
+    if (!m_open_exchanges.contains(exchange)) return;
     exchange->Send(200, fields, ResponseBodyOf(request_id));
     m_open_exchanges.erase(exchange);
   });
 }
 
+std::vector<HttpField> EngineStandin::WithNotices(std::vector<HttpField> fields) const {
+  if (m_brittle) fields.push_back({names::kBrittle, std::to_string(*m_brittle)});
+  return fields;
+}
+
+void EngineStandin::Reject(const std::shared_ptr<HttpExchange>& exchange,
+                           const std::string& request_id) {
+  ++m_rejection_count;
+  const TimePoint now = m_loop.Now();
+  m_rejections.push_back(now);
+  while (now - m_rejections.front() >= Millis{1'000}) m_rejections.pop_front();
+  if (!m_brittle || static_cast<int>(m_rejections.size()) <= *m_brittle)
+    return exchange->Send(503, WithNotices({{names::kNotRun, "1"}, {names::kAttempt, request_id}}),
+                          "");
+  ++m_fall_count;
+  m_rejections.clear();
+  m_down_until = now + kDownTime;
+  exchange->Abort();
+  Restart(m_id);
+}
+
 void EngineStandin::SendEvents(const std::shared_ptr<HttpExchange>& exchange,
                                const std::string& stream_id, const std::string& version,
                                int number) {
-  if (!exchange->IsOpen()) {
+  if (HasEnded(exchange) || !m_open_exchanges.contains(exchange)) {
     m_open_exchanges.erase(exchange);
     return;
   }
--- a/test/soak/engine-standin.h
+++ b/test/soak/engine-standin.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +42,17 @@
   const std::string& Version() const { return m_version; }
   /// Sets the response time of subsequent calls that are not streams.
   void SetResponseDelay(Millis delay) { m_response_delay = delay; }
+  /// Has the engine fall over when it turns away more requests in a second, and say so in its
+  /// responses. It is back after kDownTime, with no runs.
+  void SetBrittle(std::optional<int> rejections_per_s) { m_brittle = rejections_per_s; }
+  /// Whether runs go on when their connections close.
+  void SetKeepsRuns(bool keeps_runs) { m_keeps_runs = keeps_runs; }
+  void SetSlots(int slots) { m_slots = slots; }
+  int FallCount() const { return m_fall_count; }
+  std::uint64_t RejectionCount() const { return m_rejection_count; }
+
+  static constexpr Millis kDownTime{2'000};
+
   /// Sets the percentage of requests that fail after they have started to run.
   void SetFailurePercent(int percent) { m_failure_percent = percent; }
 
@@ -60,6 +73,13 @@
 
  private:
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  /// Turns a request away for want of room.
+  void Reject(const std::shared_ptr<HttpExchange>& exchange, const std::string& request_id);
+  /// @return the fields with those that each response has
+  std::vector<HttpField> WithNotices(std::vector<HttpField> fields) const;
+  bool HasEnded(const std::shared_ptr<HttpExchange>& exchange) const {
+    return !exchange->IsOpen() && !m_keeps_runs;
+  }
   void SendEvents(const std::shared_ptr<HttpExchange>& exchange, const std::string& stream_id,
                   const std::string& version, int number);
 
@@ -73,6 +93,12 @@
   int m_failure_percent = 0;
   Millis m_response_delay{25};
   std::uint64_t m_run_count = 0;
+  std::optional<int> m_brittle;
+  bool m_keeps_runs = false;
+  std::deque<TimePoint> m_rejections;  ///< of the last second
+  std::uint64_t m_rejection_count = 0;
+  int m_fall_count = 0;
+  TimePoint m_down_until{};
 };
 
 }  // namespace bluebellpass::test
