Count the arrival of a stream that is taken up by the live clock

Cause: the time of the event loop is taken before it waits for sockets, so what is read first after a standstill has a time of arrival before it, and a view confirmed before it counts as later. Class: as in, an old view taken as a proof. Ruled out: the same for changes and confirmations, whose times are those of sending. Change: the arrival is read from the steady clock when the request is read. Before and after: found by reading. InstanceThatStoodStillDoesNotJoinVersions, which stops a coordinator for 3 s, passed on the code before on 5 runs (2 with new, 3 with kept connections), so it did not fail there; the case in which a watch that was out ends the wait was not hit. The test is kept. Conclusion: closed by reading, not shown by a run.

--- a/src/gateway/decisions/coordinator.cc
+++ b/src/gateway/decisions/coordinator.cc
@@ -113,9 +113,9 @@
          !m_streams.Find(request.stream, now) && m_versions.OnlyVersion(request.service, now);
 }
 
-void Coordinator::Submit(RequestInfo request, TimePoint now) {
+void Coordinator::Submit(RequestInfo request, TimePoint now, std::optional<TimePoint> received_at) {
   if (!request.is_taken_up || request.version) return Admit(std::move(request), now);
-  m_unconfirmed.push_back({std::move(request), now});
+  m_unconfirmed.push_back({std::move(request), received_at.value_or(now)});
   SubmitConfirmed(now);
 }
 
@@ -238,7 +238,8 @@
 }
 
 void Coordinator::SyncRequests(const InstanceId& home, std::vector<RequestInfo> waiting,
-                               const std::vector<RunningRequest>& running, TimePoint now) {
+                               const std::vector<RunningRequest>& running, TimePoint now,
+                               std::optional<TimePoint> received_at) {
   RemoveHome(home);
   for (const RunningRequest& run : running) {
     m_scheduler.AdoptRun(run.request, run.backend, run.is_prefilling, now);
@@ -249,7 +250,7 @@
     // Its home has begun it and continues it.
     if (request.version && !request.is_taken_up) RecordStream(request, &*request.version);
     if (request.is_taken_up && !request.version) {
-      Submit(std::move(request), now);
+      Submit(std::move(request), now, received_at);
     } else if (IsQuarantined(request)) {
       RefuseAsQuarantined(request);
     } else {
--- a/src/gateway/decisions/coordinator.h
+++ b/src/gateway/decisions/coordinator.h
@@ -60,7 +60,10 @@
   /// @return what this instance was granted within the last quota window
   QuotaReport GrantReport(TimePoint now) { return m_grant_history.Report(now); }
 
-  void Submit(RequestInfo request, TimePoint now);
+  /// @param received_at when the request was read, where `now` may be older: the event loop's time
+  /// is that before it waits for sockets, and the process may stand still meanwhile
+  void Submit(RequestInfo request, TimePoint now,
+              std::optional<TimePoint> received_at = std::nullopt);
   void Withdraw(const AttemptId& id);
   void ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now);
   /// Records how a run ended, as far as it tells which requests crash backend servers. ReleaseRun
@@ -96,8 +99,10 @@
   /// Records that a connection to a backend server could not be established.
   void OnBackendUnreachable(const BackendId& id, TimePoint now);
   /// Replaces all waiting and running requests of an instance.
+  /// @param received_at see Submit
   void SyncRequests(const InstanceId& home, std::vector<RequestInfo> waiting,
-                    const std::vector<RunningRequest>& running, TimePoint now);
+                    const std::vector<RunningRequest>& running, TimePoint now,
+                    std::optional<TimePoint> received_at = std::nullopt);
   /// Removes all waiting and running requests of an instance.
   void RemoveHome(const InstanceId& home);
 
--- a/src/gateway/fleet/fleet-transfer.cc
+++ b/src/gateway/fleet/fleet-transfer.cc
@@ -34,7 +34,8 @@
   if (message.has_more) return;
   SyncRequestsMessage sync = std::exchange(all, {});
   m_coordinator.AddQuotaReport(follower, sync.quota_report, m_loop.Now());
-  m_coordinator.SyncRequests(follower, std::move(sync.waiting), sync.running, m_loop.Now());
+  m_coordinator.SyncRequests(follower, std::move(sync.waiting), sync.running, m_loop.Now(),
+                             std::chrono::steady_clock::now());
 }
 
 void Fleet::FlushOutboxes() {
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -193,7 +193,8 @@
   sync.quota_report = m_coordinator.GrantReport(m_loop.Now());
   if (id == m_options.id) {
     m_coordinator.AddQuotaReport(id, sync.quota_report, m_loop.Now());
-    m_coordinator.SyncRequests(id, std::move(sync.waiting), sync.running, m_loop.Now());
+    m_coordinator.SyncRequests(id, std::move(sync.waiting), sync.running, m_loop.Now(),
+                               std::chrono::steady_clock::now());
     return ScheduleDecision();
   }
   Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
@@ -350,7 +351,7 @@
 void Fleet::OnFollowerMessage(const InstanceId& follower, FleetMessage message) {
   const TimePoint now = m_loop.Now();
   if (auto* submit = std::get_if<SubmitMessage>(&message)) {
-    m_coordinator.Submit(std::move(submit->request), now);
+    m_coordinator.Submit(std::move(submit->request), now, std::chrono::steady_clock::now());
   } else if (const auto* withdraw = std::get_if<WithdrawMessage>(&message)) {
     m_coordinator.Withdraw(withdraw->id);
   } else if (const auto* event = std::get_if<FirstEventMessage>(&message)) {
@@ -451,6 +452,7 @@
   if (peer.features == features) return;
   peer.features = features;
   const bool is_coordinator = m_coordinator_peer && &peer == &*m_coordinator_peer;
+  const TimePoint received_at = std::chrono::steady_clock::now();
   if (is_coordinator) SendStreams(peer, m_coordinator.Streams().HandOver(m_loop.Now()));
   SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
 }
@@ -470,10 +472,10 @@
   // A coordinator of an older build does not know where streams began; others know it better.
   const bool needs_version = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
   if (request.is_taken_up && !request.version && needs_version)
-    request.version = m_coordinator.FindStreamVersion(request, m_loop.Now(), m_loop.Now());
+    request.version = m_coordinator.FindStreamVersion(request, received_at, m_loop.Now());
   m_requests[request.id] = LocalRequest{request, listener, {}, {}, true};
   if (IsCoordinator()) {
-    m_coordinator.Submit(std::move(request), m_loop.Now());
+    m_coordinator.Submit(std::move(request), m_loop.Now(), received_at);
     return ScheduleDecision();
   }
   SendToCoordinator(SubmitMessage{std::move(request)});
--- a/test/gateway-process.h
+++ b/test/gateway-process.h
@@ -88,7 +88,8 @@
     RunUntil([] { return false; }, duration);
   }
   std::unique_ptr<PendingCall> Send(const Address& address, const std::string& method,
-                                    const std::string& target, std::vector<HttpField> fields) {
+                                    const std::string& target, std::vector<HttpField> fields,
+                                    bool use_new_connection = true) {
     auto pending = std::make_unique<PendingCall>();
     PendingCall& state = *pending;
     PooledCallHandlers handlers;
@@ -99,7 +100,7 @@
     handlers.on_body = [&state](std::string_view bytes) { state.body.append(bytes); };
     handlers.on_end = [&state](PooledCallResult end) { state.result = end; };
     state.call = pool.StartCall(address, SerializeRequest(method, target, fields),
-                                std::move(handlers), true);
+                                std::move(handlers), use_new_connection);
     return pending;
   }
   std::unique_ptr<PendingCall> Get(const Address& address, const std::string& target,
--- a/test/gateway-stream-version-test.cc
+++ b/test/gateway-stream-version-test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -24,6 +25,8 @@
 constexpr Millis kSettleTime{2'000};
 // Until a change is read, and confirmed over a link.
 constexpr Millis kConfirmTime{400};
+// Longer than a watch waits, and than instances wait for a coordinator.
+constexpr Millis kPause{2'500};
 constexpr int kStreams = 12;
 
 /// A stream as its caller sees it.
@@ -31,6 +34,7 @@
   std::string id;  ///< of the attempt that brought its first event
   std::string version;
   std::unique_ptr<PendingCall> call;
+  std::string taken_up_as;  ///< attempt that takes it up
 };
 
 struct Fixture : ClientFixture {
@@ -130,23 +134,31 @@
   int TakeUp(std::vector<Stream>& streams, std::size_t gateway) {
     int served = 0;
     for (Stream& stream : streams) {
-      const std::string id = "t" + std::to_string(++request_count);
-      stream.call = Send(gateways[gateway]->front, "POST", "/stream/x",
-                         {{"Host", "h"},
-                          {names::kAttempt, id},
-                          {names::kLastEventId, "2"},
-                          {kResumes, stream.id},
-                          {"Content-Length", "0"}});
-      BOOST_TEST(RunUntil([&] { return stream.call->result.has_value(); }, kStepTimeout));
-      const std::set<std::string> versions = VersionsOfRuns(id);
-      const bool is_joined = !versions.empty() && versions != std::set{stream.version};
-      BOOST_TEST(!is_joined, "stream " << stream.id << " of " << stream.version << " goes on at "
-                                       << *versions.begin());
-      served += stream.call->Status() == 200 ? 1 : 0;
-      BOOST_TEST((stream.call->Status() == 200 || stream.call->Status() == 503));
+      SendTakenUp(stream, gateway);
+      served += CheckTakenUp(stream);
     }
     return served;
   }
+  void SendTakenUp(Stream& stream, std::size_t gateway, bool use_new_connection = true) {
+    stream.taken_up_as = "t" + std::to_string(++request_count);
+    stream.call = Send(gateways[gateway]->front, "POST", "/stream/x",
+                       {{"Host", "h"},
+                        {names::kAttempt, stream.taken_up_as},
+                        {names::kLastEventId, "2"},
+                        {kResumes, stream.id},
+                        {"Content-Length", "0"}},
+                       use_new_connection);
+  }
+  /// @return 1 if the stream goes on
+  int CheckTakenUp(const Stream& stream) {
+    BOOST_TEST(RunUntil([&] { return stream.call->result.has_value(); }, kStepTimeout));
+    const std::set<std::string> versions = VersionsOfRuns(stream.taken_up_as);
+    const bool is_joined = !versions.empty() && versions != std::set{stream.version};
+    BOOST_TEST(!is_joined, "stream " << stream.id << " of " << stream.version << " goes on at "
+                                     << *versions.begin());
+    BOOST_TEST((stream.call->Status() == 200 || stream.call->Status() == 503));
+    return stream.call->Status() == 200 ? 1 : 0;
+  }
   static void Disconnect(std::vector<Stream>& streams) {
     for (Stream& stream : streams) stream.call.reset();
   }
@@ -299,6 +311,28 @@
   TakeUp(streams, 1);
 }
 
+// Guards against the same at a coordinator that stood still. What it reads first when it goes on
+// has come later than its clock says.
+BOOST_FIXTURE_TEST_CASE(InstanceThatStoodStillDoesNotJoinVersions, Fixture) {
+  AddEngine("old", "1");
+  StartGateways();
+  // Their connections are kept.
+  for (const Stream& stream : BeginStreams(0))
+    BOOST_REQUIRE(RunUntil([&] { return stream.call->result.has_value(); }, kStepTimeout));
+  gateways[0]->process.Signal(SIGSTOP);
+  // Its watch is answered, without a change, and the others find a new coordinator.
+  RunFor(kPause);
+  AddEngine("new", "2");
+  RunFor(kConfirmTime);
+  auto streams = BeginStreams(1);
+  BOOST_REQUIRE(streams.front().version == "2");
+  Disconnect(streams);
+  for (Stream& stream : streams) SendTakenUp(stream, 0, false);
+  RunFor(kConfirmTime);
+  gateways[0]->process.Signal(SIGCONT);
+  for (const Stream& stream : streams) CheckTakenUp(stream);
+}
+
 // Guards against streams that are lost with all instances though there is only one version.
 BOOST_FIXTURE_TEST_CASE(StreamsOfOneVersionOutliveAllInstances, Fixture) {
   for (const char* id : {"e0", "e1"}) AddEngine(id, "1");
