Forgive a backend server that only paused

Callers met fewer backend servers for seconds after a sound one had fallen silent for a second. Cause: runs without an event for a second count as failures at once, also those that go on later. Ruled out: a longer time until a run counts as stalled, since backend servers that hang must be found early. Change: the first event of a stalled run within 2 s of its start takes back what the stall has counted. Before and after: gateway-scheduler-test, PausedBackendKeepsItsStanding, failed by reading of the code before, where the limit stays until the rate has decayed; it passes. Conclusion: the standing is kept in the scheduler; no process that pauses was played.

--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -19,6 +19,8 @@
 constexpr Millis kStallTimeout{1'000};
 constexpr double kStallFactor = 3;
 constexpr Millis kStallCheckPeriod{200};
+// A sound backend server may pause for a second or so.
+constexpr Millis kMaxPause{2'000};
 // Backend servers that are silent to an instance before its own path to them is suspected.
 constexpr std::size_t kLostPathBackends = 3;
 
@@ -132,6 +134,7 @@
   const double decode_ms = state->second.speed.DecodeMs(found->second.prefill_tokens_at_start);
   const double ratio = std::clamp(static_cast<double>(time_to_first_event.count()) / decode_ms,
                                   kMinPrefillRatio, kMaxPrefillRatio);
+  ForgivePause(found->second, state->second, now);
   m_prefill_ratio += kPrefillRatioSmoothing * (ratio - m_prefill_ratio);
 }
 
@@ -218,6 +221,13 @@
   if (response != m_last_response_by_home.end() && response->second >= run.started) return false;
   const auto requests = m_requests_by_home.find(home);
   if (requests == m_requests_by_home.end()) return false;
+void Scheduler::ForgivePause(Run& run, TrackedBackend& state, TimePoint now) {
+  if (!run.is_stalled || !state.stall || now - run.started > kMaxPause) return;
+  state.failure_rate = std::exchange(state.stall, std::nullopt)->rate_before;
+  for (auto& [id, other] : m_runs)
+    if (other.backend == run.backend) other.is_stalled = false;
+}
+
   std::set<BackendId> silent;
   for (const AttemptId& id : requests->second) {
     const auto other = m_runs.find(id);
@@ -244,6 +254,9 @@
     for (int i = 0; i < failed_runs; ++i) found->second.failure_rate.Record(true, now);
   }
 }
+    std::optional<Stall>& stall = found->second.stall;
+    if (!stall || now - stall->counted_at > kMaxPause)
+      stall = Stall{now, found->second.failure_rate};
 
 void Scheduler::ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now) {
   const auto found = m_runs.find(id);
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -253,6 +253,10 @@
   std::size_t RunsAtOtherVersions(const ServiceName& service, const SoftwareVersion& version) const;
 
  private:
+  struct Stall {
+    TimePoint counted_at;
+    FailureRate rate_before;
+  };
   struct TrackedBackend {
     Backend backend;
     SpeedModel speed;
@@ -268,6 +272,8 @@
     TimePoint last_response{};  ///< last first event or completed response
     FailureLimit limit = FailureLimit::kNone;
     FailureRate failure_rate;
+    /// Set when runs have stalled, since it may turn out that the backend server only paused.
+    std::optional<Stall> stall;
   };
   struct Run {
     RequestInfo request;
@@ -408,6 +414,9 @@
   bool MayHaveLostPath(const Run& run) const;
   /// Counts the outcome of a run for metrics and for the balance between size groups.
   static void RecordOutcome(const Run& run, RunOutcome outcome, TimePoint now);
+  /// Takes back what a stalled run has counted, if its first event shows that its backend server
+  /// only paused.
+  void ForgivePause(Run& run, TrackedBackend& state, TimePoint now);
   void EndPrefill(Run& run);
   void DecideForService(const ServiceName& service, std::vector<WaitingRequest*> queue,
                         TimePoint now, AdmissionControl& admission, Decisions& decisions);
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -334,6 +334,33 @@
   BOOST_TEST((decisions.limit_changes[0].limit == FailureLimit::kTrialsOnly));
 }
 
+// Guards against a sound backend server that pauses for a second and then gets hardly any requests,
+// and against one that stays silent and keeps its standing.
+BOOST_FIXTURE_TEST_CASE(PausedBackendKeepsItsStanding, Fixture) {
+  const std::vector<std::string> backends = {"a", "b", "c", "d", "e", "f"};
+  for (const std::string& id : backends)
+    scheduler.SetBackend(BackendOf(id, "chat", 8), &engine_service);
+  std::vector<AttemptId> paused;
+  for (int i = 0; i < 4; ++i) {
+    RequestInfo request = RequestOf("w" + std::to_string(i));
+    for (const std::string& other : backends)
+      if (other != "a") request.excluded_backends.insert(BackendId(other));
+    scheduler.AddRequest(request);
+    BOOST_TEST(Decide().size() == 1U);
+    paused.push_back(request.id);
+  }
+  scheduler.AddRequest(RequestOf("during"));
+  Decide(kStart + Millis{1'200});
+  BOOST_REQUIRE(decisions.limit_changes.size() == 1U);
+  BOOST_TEST((decisions.limit_changes[0].limit == FailureLimit::kTrialsOnly));
+  const TimePoint resumed = kStart + Millis{1'400};
+  for (const AttemptId& id : paused) scheduler.RecordFirstEvent(id, Millis{1'400}, resumed);
+  scheduler.AddRequest(RequestOf("after"));
+  Decide(resumed);
+  BOOST_REQUIRE(decisions.limit_changes.size() == 1U);
+  BOOST_TEST((decisions.limit_changes[0].limit == FailureLimit::kNone));
+}
+
 // Guards against backend servers that lose their standing because one instance has lost its path to
 // all of them.
 BOOST_FIXTURE_TEST_CASE(SilenceToOneInstanceIsNoFaultOfTheBackends, Fixture) {
