State what ends unanswered keep-alive probes

Cause: the comment named the count of probes as the bound, but a TCP_USER_TIMEOUT that is set also ends them. Ruled out: other places that set it; tcp-stream.cc is the only one. Change: a comment. The values stay: a silent peer is given up after 3 s, where the count alone would allow 4 s. Before and after: 0 lines of code.

--- a/src/kernel/tcp-stream.h
+++ b/src/kernel/tcp-stream.h
@@ -27,10 +27,12 @@
 /// TCP keep-alive options, which detect peers that disappear without a reset. Probes cost nothing
 /// on connections with traffic.
 struct TcpKeepAlive {
-  int idle_s = 1;                 ///< idle time before the first probe
-  int interval_s = 1;             ///< time between probes
-  int probes = 3;                 ///< unanswered probes before the connection is reset
-  int unacknowledged_ms = 3'000;  ///< longest time that sent bytes may stay unacknowledged
+  int idle_s = 1;      ///< idle time before the first probe
+  int interval_s = 1;  ///< time between probes
+  int probes = 3;      ///< unanswered probes before the connection is reset
+  /// Longest time that sent bytes may stay unacknowledged. The system also resets a connection that
+  /// has been silent for this long once a probe is unanswered, whatever their number.
+  int unacknowledged_ms = 3'000;
 };
 
 /// A TCP connection on the event loop. Callbacks are called from the loop, never from inside a
