Keep a forwarded request with the instance that serves it

Cause: a request that was granted to an instance, and then forwarded, can reach the coordinator from the second instance before the first one has released it; it was dropped then, and its caller waited in vain. A late release also ended the second instance's run. An instance with no other one to turn to sent nothing at all, not even over connections that live on. Ruled out: forwarding before the grant only, since the first requests of a cut have been granted already. Change: a request from another home replaces the one before, and reports from an instance that does not hold it are ignored. Without another instance, the request is sent as granted. Failures of backend servers that have left are not recorded. Before and after: no test failed before; by reading. gateway-stranded-test and gateway-scheduler-test pass. Conclusion: the order of arrival no longer matters.

--- a/src/gateway/call/call-outcome.cc
+++ b/src/gateway/call/call-outcome.cc
@@ -3,6 +3,37 @@
 #include "kernel/loop.h"
 
 namespace bluebellpass::gateway {
+namespace {
+
+// How long a leaving backend server gets no work from any instance, unless it starts again.
+constexpr Millis kLeavingAvoidDuration{60'000};
+
+}  // namespace
+
+void Call::RecordNotices() {
+  const ResponseFields& response = m_response;
+  const TimePoint now = m_context.loop.Now();
+  if (response.is_leaving && m_context.backend_notices.SetLeaving(m_backend_start, now)) {
+    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
+    m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
+  }
+  if (response.retry_after &&
+      m_context.backend_notices.SetBusy(m_backend_start, *response.retry_after, now))
+    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
+  const bool was_rejected = response.is_not_run && !response.is_wrong_backend;
+  // Another backend server says nothing about this one.
+  const bool is_changed =
+      !response.is_wrong_backend &&
+      m_context.backend_notices.SetRejectionLimit(m_backend_start, response.rejection_limit_per_s);
+  if (is_changed || (was_rejected && response.rejection_limit_per_s))
+    m_context.dispatcher.ReportRejections(m_backend_id,
+                                          {response.rejection_limit_per_s, was_rejected});
+  if (!response.has_invalid_load) return;
+  m_context.metrics.IncrementCounter("gateway_invalid_load_reports", "");
+  if (m_context.backend_notices.SetInvalidLoad(m_backend_start))
+    LogEvent(EventId::kObjectRejected,
+             {{"object", m_backend_id.Text()}, {"reason", "its load report cannot be read"}});
+}
 
 void Call::Finish(const char* outcome, int status, const char* reason) {
   // The end of the response may have closed the connection, which ends the call as well.
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -16,8 +16,6 @@
 // kAvoidDuration, because it cannot be reached until it registers again.
 constexpr Millis kWrongBackendAvoidDuration{5'000};
 constexpr Millis kProbeDelay{100};
-// How long a leaving backend server gets no work from any instance, unless it starts again.
-constexpr Millis kLeavingAvoidDuration{60'000};
 // How long requests wait for the first configuration after the start of the process. Loading it
 // usually takes less time than the round trip of a refused caller.
 constexpr Millis kMaxConfigWait{1'000};
@@ -195,13 +193,7 @@
     TryResubmit(false);
     return;
   }
-  if (ShouldForward()) {
-    ReleaseRun(RunOutcome::kNotRun);
-    if (Forward()) return;
-    m_excluded_backends.insert(id);
-    TryResubmit(false);
-    return;
-  }
+  if (ShouldForward() && Forward()) return ReleaseRun(RunOutcome::kNotRun);
   Send(*backend);
 }
 
@@ -269,29 +261,6 @@
   return true;
 }
 
-void Call::RecordNotices() {
-  const ResponseFields& response = m_response;
-  const TimePoint now = m_context.loop.Now();
-  if (response.is_leaving && m_context.backend_notices.SetLeaving(m_backend_start, now)) {
-    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "leaving"}});
-    m_context.dispatcher.AvoidBackend(m_backend_id, kLeavingAvoidDuration, false);
-  }
-  if (response.retry_after &&
-      m_context.backend_notices.SetBusy(m_backend_start, *response.retry_after, now))
-    LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
-  const bool was_rejected = response.is_not_run && !response.is_wrong_backend;
-  const bool is_changed =
-      m_context.backend_notices.SetRejectionLimit(m_backend_start, response.rejection_limit_per_s);
-  if (is_changed || (was_rejected && response.rejection_limit_per_s))
-    m_context.dispatcher.ReportRejections(m_backend_id,
-                                          {response.rejection_limit_per_s, was_rejected});
-  if (!response.has_invalid_load) return;
-  m_context.metrics.IncrementCounter("gateway_invalid_load_reports", "");
-  if (m_context.backend_notices.SetInvalidLoad(m_backend_start))
-    LogEvent(EventId::kObjectRejected,
-             {{"object", m_backend_id.Text()}, {"reason", "its load report cannot be read"}});
-}
-
 void Call::OnResponseBody(std::string_view bytes) {
   m_context.path_monitor.RecordReceived();
   if (m_state != State::kSent && m_state != State::kResponding) return;
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -86,9 +86,14 @@
 }
 
 void Scheduler::AddRequest(RequestInfo request) {
-  if (m_waiting.contains(request.id) || m_runs.contains(request.id)) return;
   const AttemptId id = request.id;
   m_requests_by_home[request.home].insert(id);
+  const RequestInfo* known = FindWaiting(id) != nullptr ? FindWaiting(id) : FindRunning(id);
+  if (known != nullptr && known->home == request.home) return;
+  if (known != nullptr) {
+    // Its former home has forwarded it, and its report of that is still to come.
+    if (!Withdraw(id)) ReleaseRun(id, {}, request.arrived);
+  }
   WaitingRequest waiting;
   waiting.request = std::move(request);
   Evaluate(waiting);
@@ -215,12 +220,6 @@
   run.balance->RecordUnserved(run.size, outcome == RunOutcome::kCancelled, run.started, now);
 }
 
-bool Scheduler::MayHaveLostPath(const Run& run) const {
-  const InstanceId& home = run.request.home;
-  const auto response = m_last_response_by_home.find(home);
-  if (response != m_last_response_by_home.end() && response->second >= run.started) return false;
-  const auto requests = m_requests_by_home.find(home);
-  if (requests == m_requests_by_home.end()) return false;
 void Scheduler::ForgivePause(Run& run, TrackedBackend& state, TimePoint now) {
   if (!run.is_stalled || !state.stall || now - run.started > kMaxPause) return;
   state.failure_rate = std::exchange(state.stall, std::nullopt)->rate_before;
--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -99,6 +99,30 @@
   return best == nullptr ? std::nullopt : std::optional(best->caller_address);
 }
 
+bool Fleet::IsHomeOf(const InstanceId& instance, const AttemptId& id) const {
+  const Scheduler& scheduler = m_coordinator.RequestScheduler();
+  const RequestInfo* request = scheduler.FindWaiting(id);
+  if (request == nullptr) request = scheduler.FindRunning(id);
+  return request == nullptr || request->home == instance;
+}
+
+void Fleet::SetLostBackends(bool has_lost_backends) {
+  m_has_lost_backends = has_lost_backends;
+  LogEvent(EventId::kFleetChanged,
+           {{"member", m_options.id.Text()},
+            {"state", has_lost_backends ? "without backend servers" : "with backend servers"}});
+  AnnounceOwnMember();
+}
+
+void Fleet::SetLostStore(bool has_lost_store) {
+  if (m_has_lost_store == has_lost_store) return;
+  m_has_lost_store = has_lost_store;
+  LogEvent(EventId::kFleetChanged, {{"member", m_options.id.Text()},
+                                    {"state", has_lost_store ? "without store" : "with store"}});
+  AnnounceOwnMember();
+  ElectCoordinator();
+}
+
 void Fleet::AnnounceOwnMember() {
   if (m_coordinator_peer) Enqueue(*m_coordinator_peer, MembersMessage{{OwnMember()}});
   BroadcastMember(OwnMember());
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -90,23 +90,6 @@
   ElectCoordinator();
 }
 
-void Fleet::SetLostBackends(bool has_lost_backends) {
-  m_has_lost_backends = has_lost_backends;
-  LogEvent(EventId::kFleetChanged,
-           {{"member", m_options.id.Text()},
-            {"state", has_lost_backends ? "without backend servers" : "with backend servers"}});
-  AnnounceOwnMember();
-}
-
-void Fleet::SetLostStore(bool has_lost_store) {
-  if (m_has_lost_store == has_lost_store) return;
-  m_has_lost_store = has_lost_store;
-  LogEvent(EventId::kFleetChanged, {{"member", m_options.id.Text()},
-                                    {"state", has_lost_store ? "without store" : "with store"}});
-  AnnounceOwnMember();
-  ElectCoordinator();
-}
-
 void Fleet::ElectCoordinator() {
   if (!m_is_started) return;
   const TimePoint now = m_loop.Now();
@@ -353,11 +336,12 @@
   if (auto* submit = std::get_if<SubmitMessage>(&message)) {
     m_coordinator.Submit(std::move(submit->request), now, std::chrono::steady_clock::now());
   } else if (const auto* withdraw = std::get_if<WithdrawMessage>(&message)) {
-    m_coordinator.Withdraw(withdraw->id);
+    if (IsHomeOf(follower, withdraw->id)) m_coordinator.Withdraw(withdraw->id);
   } else if (const auto* event = std::get_if<FirstEventMessage>(&message)) {
     m_coordinator.RecordFirstEvent(event->id, event->version, event->time_to_first_event, now);
   } else if (const auto* release = std::get_if<ReleaseRunMessage>(&message)) {
-    m_coordinator.ReleaseRun(release->id, release->report, now);
+    if (IsHomeOf(follower, release->id))
+      m_coordinator.ReleaseRun(release->id, release->report, now);
   } else if (const auto* avoid = std::get_if<AvoidBackendMessage>(&message)) {
     m_coordinator.RequestScheduler().AvoidBackend(avoid->backend, now + avoid->duration);
     if (avoid->is_unreachable) m_coordinator.OnBackendUnreachable(avoid->backend, now);
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -166,6 +166,8 @@
   FleetMember OwnMember() const;
   void SetAlive(const InstanceId& id, bool is_alive);
 
+  /// @return false if another instance holds a request, which was forwarded to it
+  bool IsHomeOf(const InstanceId& instance, const AttemptId& id) const;
   void OnFollowerMessage(const InstanceId& follower, FleetMessage message);
   void OnCoordinatorMessage(FleetMessage message);
   void MergeMembers(const MembersMessage& message, bool is_from_coordinator);
--- a/src/gateway/state/path-monitor.cc
+++ b/src/gateway/state/path-monitor.cc
@@ -48,6 +48,7 @@
 }
 
 void PathMonitor::RecordFailure(const BackendId& id, TimePoint dialled_at) {
+  if (m_routing_state.FindBackend(id) == nullptr) return;
   const bool is_alone = m_routing_state.Backends().size() <= 1;
   if (m_paths.RecordFailure(id, dialled_at, m_timers.Now()) || is_alone)
     return m_events.on_unreachable(id);
