Count unseen refusals of brittle backend servers

Cause: a request counted as accepted 250 ms after it was sent, also by a backend server that was silent meanwhile; one whose caller left first, whose refusal nobody sees, counted for nothing; and a new coordinator knew no limits. Ruled out: a longer time, since no time bounds a pause. Change: a backend server has accepted only what it was sent before its last response; what ends unanswered before counts as turned away; each instance keeps the limits that it has seen. The check of the test after a withdrawal is stricter: nine in ten callers who wait are served, not one. Before and after: gateway-scheduler-test, UnconfirmedRequestsStayBelowTheRejectionLimit, failed without the new parts of the code in its new lines; it passes. Conclusion: N bounds refusals also while a backend server is silent.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -107,12 +107,18 @@
   return static_cast<int>(whole / m_share_count + (position < whole % m_share_count ? 1 : 0));
 }
 
+bool Scheduler::IsConfirmed(const Run& run, TimePoint now) const {
+  if (now - run.started < RejectionGuard::kConfirmTime) return false;
+  // One that is silent has not decided yet.
+  const auto backend = m_backends.find(run.backend);
+  return backend != m_backends.end() && backend->second.last_response >= run.started;
+}
+
 void Scheduler::LimitUnconfirmed(Capacity& capacity, TimePoint now) {
   if (m_rejection_guards.empty()) return;
   std::map<BackendId, int> unconfirmed;
   for (const auto& [id, run] : m_runs)
-    if (run.is_prefilling && now - run.started < RejectionGuard::kConfirmTime)
-      ++unconfirmed[run.backend];
+    if (run.is_prefilling && !IsConfirmed(run, now)) ++unconfirmed[run.backend];
   for (auto* list : {&capacity.open, &capacity.probes, &capacity.ending}) {
     for (OpenBackend& open : *list) {
       const Backend& backend = open.state->backend;
--- a/src/gateway/decisions/scheduler.cc
+++ b/src/gateway/decisions/scheduler.cc
@@ -60,6 +60,7 @@
   const auto found = m_backends.find(id);
   if (found == m_backends.end()) return;
   m_backends_by_service[found->second.backend.service].erase(id);
+  m_rejection_guards.erase(found->second.backend.Start());
   m_backends.erase(found);
 }
 
@@ -87,13 +88,13 @@
 
 void Scheduler::AddRequest(RequestInfo request) {
   const AttemptId id = request.id;
-  m_requests_by_home[request.home].insert(id);
   const RequestInfo* known = FindWaiting(id) != nullptr ? FindWaiting(id) : FindRunning(id);
   if (known != nullptr && known->home == request.home) return;
   if (known != nullptr) {
     // Its former home has forwarded it, and its report of that is still to come.
     if (!Withdraw(id)) ReleaseRun(id, {}, request.arrived);
   }
+  m_requests_by_home[request.home].insert(id);
   WaitingRequest waiting;
   waiting.request = std::move(request);
   Evaluate(waiting);
@@ -133,13 +134,13 @@
   EndPrefill(found->second);
   const auto state = m_backends.find(found->second.backend);
   if (state == m_backends.end()) return;
+  ForgivePause(found->second, state->second, now);
   state->second.last_response = now;
   m_last_response_by_home[found->second.request.home] = now;
   if (found->second.request.prompt_tokens < kMinPromptTokensForPrefillRatio) return;
   const double decode_ms = state->second.speed.DecodeMs(found->second.prefill_tokens_at_start);
   const double ratio = std::clamp(static_cast<double>(time_to_first_event.count()) / decode_ms,
                                   kMinPrefillRatio, kMaxPrefillRatio);
-  ForgivePause(found->second, state->second, now);
   m_prefill_ratio += kPrefillRatioSmoothing * (ratio - m_prefill_ratio);
 }
 
@@ -227,6 +228,12 @@
     if (other.backend == run.backend) other.is_stalled = false;
 }
 
+bool Scheduler::MayHaveLostPath(const Run& run) const {
+  const InstanceId& home = run.request.home;
+  const auto response = m_last_response_by_home.find(home);
+  if (response != m_last_response_by_home.end() && response->second >= run.started) return false;
+  const auto requests = m_requests_by_home.find(home);
+  if (requests == m_requests_by_home.end()) return false;
   std::set<BackendId> silent;
   for (const AttemptId& id : requests->second) {
     const auto other = m_runs.find(id);
@@ -247,19 +254,28 @@
     run.has_lost_path = MayHaveLostPath(run);
     if (run.has_lost_path) continue;
     run.is_stalled = true;
+    std::optional<Stall>& stall = found->second.stall;
+    if (!stall || now - stall->counted_at > kMaxPause)
+      stall = Stall{now, found->second.failure_rate};
     // Without any response since the run started, all prefilling runs count as failed.
     const int failed_runs =
         found->second.last_response < run.started ? found->second.prefilling : 1;
     for (int i = 0; i < failed_runs; ++i) found->second.failure_rate.Record(true, now);
   }
 }
-    std::optional<Stall>& stall = found->second.stall;
-    if (!stall || now - stall->counted_at > kMaxPause)
-      stall = Stall{now, found->second.failure_rate};
+
+void Scheduler::CountUnseenRejection(const Run& run, const RunReport& report, TimePoint now) {
+  const bool is_abandoned = run.is_prefilling && (report.outcome == RunOutcome::kCancelled ||
+                                                  report.outcome == RunOutcome::kLost);
+  if (!is_abandoned || IsConfirmed(run, now)) return;
+  const auto guard = m_rejection_guards.find(StartOf(run.backend));
+  if (guard != m_rejection_guards.end()) guard->second.RecordRejection(now);
+}
 
 void Scheduler::ReleaseRun(const AttemptId& id, const RunReport& report, TimePoint now) {
   const auto found = m_runs.find(id);
   if (found == m_runs.end()) return;
+  CountUnseenRejection(found->second, report, now);
   UpdateFailureRate(found->second, report, now);
   RecordVersionResult(found->second, report, now);
   RecordOutcome(found->second, report.outcome, now);
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -333,6 +333,9 @@
   int GrantableSlots(const TrackedBackend& state) const;
   /// @return this scheduler's share of a number that holds for a backend server
   int ShareOf(const BackendId& id, int number) const;
+  /// @return true if the backend server of a run without a response would have turned it away by
+  /// now
+  bool IsConfirmed(const Run& run, TimePoint now) const;
   /// Limits the slots of backend servers that fail if they have to turn away too many requests.
   void LimitUnconfirmed(Capacity& capacity, TimePoint now);
   /// Determines the capacity and reports changes of failure limits.
@@ -407,16 +410,18 @@
                                FailureLimit limit, TimePoint now);
   /// Records the result of a run for or against the version of its backend server.
   void RecordVersionResult(const Run& run, const RunReport& report, TimePoint now);
+  /// Counts a run that ends before its backend server has responded as turned away.
+  void CountUnseenRejection(const Run& run, const RunReport& report, TimePoint now);
   void UpdateFailureRate(const Run& run, const RunReport& report, TimePoint now);
   void DetectStalledRuns(TimePoint now);
+  /// Takes back what a stalled run has counted, if its first event shows that its backend server
+  /// only paused.
+  void ForgivePause(Run& run, TrackedBackend& state, TimePoint now);
   /// @return true if the home of a run may reach no backend server: several have sent it nothing
   /// since the run started
   bool MayHaveLostPath(const Run& run) const;
   /// Counts the outcome of a run for metrics and for the balance between size groups.
   static void RecordOutcome(const Run& run, RunOutcome outcome, TimePoint now);
-  /// Takes back what a stalled run has counted, if its first event shows that its backend server
-  /// only paused.
-  void ForgivePause(Run& run, TrackedBackend& state, TimePoint now);
   void EndPrefill(Run& run);
   void DecideForService(const ServiceName& service, std::vector<WaitingRequest*> queue,
                         TimePoint now, AdmissionControl& admission, Decisions& decisions);
--- a/src/gateway/fleet/fleet.cc
+++ b/src/gateway/fleet/fleet.cc
@@ -436,7 +436,6 @@
   if (peer.features == features) return;
   peer.features = features;
   const bool is_coordinator = m_coordinator_peer && &peer == &*m_coordinator_peer;
-  const TimePoint received_at = std::chrono::steady_clock::now();
   if (is_coordinator) SendStreams(peer, m_coordinator.Streams().HandOver(m_loop.Now()));
   SendVerdicts(peer, m_coordinator.Rollouts().Verdicts());
 }
@@ -453,6 +452,7 @@
 
 void Fleet::Submit(RequestInfo request, DispatchListener* listener) {
   request.home = m_options.id;
+  const TimePoint received_at = std::chrono::steady_clock::now();
   // A coordinator of an older build does not know where streams began; others know it better.
   const bool needs_version = m_coordinator_peer && !KnowsStreams(*m_coordinator_peer);
   if (request.is_taken_up && !request.version && needs_version)
@@ -510,8 +510,9 @@
 }
 
 void Fleet::ReportRejections(const BackendId& id, const RejectionReport& report) {
-  if (!IsCoordinator()) return SendToCoordinator(AvoidBackendMessage{id, {}, false, report});
+  // Kept here as well, since this instance may coordinate next.
   m_coordinator.RequestScheduler().RecordRejections(id, report, m_loop.Now());
+  SendToCoordinator(AvoidBackendMessage{id, {}, false, report});
 }
 
 void Fleet::DeliverGrant(const AttemptId& id, const BackendId& backend,
--- a/test/gateway-brittle-test.cc
+++ b/test/gateway-brittle-test.cc
@@ -154,7 +154,8 @@
   served = 0;
   SendBursts();
   BOOST_TEST_MESSAGE("withdrawn: " << served << " served");
-  BOOST_TEST(served > 0);
+  // Enough for all, so that hardly any caller who waits is refused.
+  BOOST_TEST(served >= kBursts * kBurstSize / 4 * 9 / 10);
 }
 
 }  // namespace bluebellpass::test
--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -407,7 +407,15 @@
   // All but the rejected one count as accepted, since a refusal would be known by now.
   TimePoint now = kStart + RejectionGuard::kConfirmTime;
   BOOST_TEST(Decide(now).size() == 2U);
-  now = kStart + Millis{1'300};
+  // A caller who leaves before the response does not see a refusal.
+  const AttemptId silent = decisions.grants[1].id;
+  scheduler.ReleaseRun(decisions.grants[0].id, RunReport{RunOutcome::kCancelled, {}, {}}, now);
+  BOOST_TEST(Decide(now).empty());
+  // A silent backend server has not accepted what it was sent.
+  now = kStart + Millis{1'600};
+  scheduler.RecordRejections(id, {1, false}, now);
+  BOOST_TEST(Decide(now).empty());
+  scheduler.RecordFirstEvent(silent, Millis{1'300}, now);
   scheduler.RecordRejections(id, {0, false}, now);
   BOOST_TEST(Decide(now).size() == 1U);
   scheduler.RecordRejections(id, {std::nullopt, false}, now);
