Allocate the calls of a test at once

Cause: the linter found a vector that grows in a loop. Ruled out: nothing. Change: the vector has its size from the start.

--- a/test/gateway-brittle-test.cc
+++ b/test/gateway-brittle-test.cc
@@ -77,8 +77,8 @@
   }
   /// Has each engine respond, which states its limit.
   void Announce() {
-    std::vector<std::unique_ptr<PendingCall>> calls;
-    for (int i = 0; i < 2 * kEngines; ++i) calls.push_back(Call());
+    std::vector<std::unique_ptr<PendingCall>> calls(2 * kEngines);
+    for (auto& call : calls) call = Call();
     RunFor(kSettleTime);
   }
   /// Each caller of a burst leaves after kPatience, but every fourth, which waits for its response.
