--- a/test/gateway-brittle-test.cc
+++ b/test/gateway-brittle-test.cc
@@ -16,6 +16,8 @@
 constexpr Millis kStartTimeout{10'000};
 constexpr Millis kSettleTime{1'500};
 constexpr int kEngines = 4;
+// Enough that each engine gets one.
+constexpr std::size_t kAnnouncingCalls = 8;
 constexpr int kSlots = 8;
 constexpr Millis kResponseDelay{300};
 constexpr Millis kBurstPeriod{250};
@@ -77,7 +79,7 @@
   }
   /// Has each engine respond, which states its limit.
   void Announce() {
-    std::vector<std::unique_ptr<PendingCall>> calls(2 * kEngines);
+    std::vector<std::unique_ptr<PendingCall>> calls(kAnnouncingCalls);
     for (auto& call : calls) call = Call();
     RunFor(kSettleTime);
   }
