Join the fleet only with a list of the backend servers

Callers saw 503 from an instance that had just started, while its backend servers were there. Cause: the instance joined the fleet when it knew the link keys and the instances. It then could coordinate before its first list of the backend servers had come, and refused requests because it knew none. Change: it joins when it has that list too; requests wait meanwhile, as they do for the configuration.

--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -32,6 +32,7 @@
     LogEvent(EventId::kBackendsListed,
              {{"count", static_cast<std::int64_t>(m_routing_state.Backends().size())},
               {"revision", static_cast<std::int64_t>(NumberOf(m_backend_watch->SeenRevision()))}});
+  JoinFleetIfReady();
   m_fleet.ScheduleDecision();
 }
 
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -24,6 +24,8 @@
 // Longer than a stopping gateway accepts requests, but within its grace period.
 constexpr Millis kLateRequestDelay{3'200};
 constexpr Millis kLongRunDuration{5'000};
+// An instance joins the fleet within this time of its registration, before a lost list is repeated.
+constexpr Millis kJoinTime{400};
 constexpr std::size_t kEndlessChunkBytes = 64U << 10U;
 
 /// A backend server that responds to each request with the given start of a response, followed by
@@ -146,6 +148,15 @@
   BOOST_TEST(early_request->status == 200);
 }
 
+// Guards against an instance that coordinates before it knows the backend servers, and refuses
+// requests for want of them.
+BOOST_FIXTURE_TEST_CASE(RequestBeforeListOfBackendServersIsServed, Fixture) {
+  store.LoseListResponses(names::kBackendKind, 1);
+  BOOST_REQUIRE(RunUntil([&] { return store.Contains(names::kInstanceKind, "g"); }, kStartTimeout));
+  RunUntil([] { return false; }, kJoinTime);
+  BOOST_TEST(SendAndWait("early") == 200);
+}
+
 // Guards against a stopping process that accepts a request on an open connection and exits before
 // completing it. Early requests are served, late ones are refused as not run, and the process exits
 // with 0.
