Let streams that have begun go before new requests of their rank

Cause: they were queued like new requests, in the burst after the loss; since they also reach the queue after those that come while the view of the backend servers is confirmed. Class: an order that ignores what a refusal costs. Change: a request that continues a stream has twice the value, since a refusal wastes its run so far; more urgent requests still go before it. The test failed without it.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -17,6 +17,9 @@
 // Part of a request's value that does not grow with its size.
 constexpr double kSizeIndependentValue = 0.3;
 constexpr double kMaxRelativeSize = 4;
+// Value of a request that continues a stream relative to a new one. A refusal would waste the run
+// so far as well.
+constexpr double kBegunStreamValueFactor = 2;
 // Size of an output token in prompt tokens, as callers count the size.
 constexpr std::int64_t kPromptTokensPerOutputToken = 10;
 // Value of a late response relative to one on time.
@@ -227,6 +230,7 @@
   const double size = std::min(tokens / waiting.balance->MeanSize(), kMaxRelativeSize);
   waiting.value = std::pow(kRankValueFactor, request.rank) *
                   (kSizeIndependentValue + (1 - kSizeIndependentValue) * size);
+  if (request.version) waiting.value *= kBegunStreamValueFactor;
 }
 
 bool Scheduler::IsLate(const RequestInfo& request, const Capacity& capacity, TimePoint now) {
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -417,6 +417,29 @@
   BOOST_TEST(!coordinator.NeedsConfirmation());
 }
 
+// Guards against streams that are refused after the loss of instances because new requests are
+// queued before them, and against streams that go before more urgent requests.
+BOOST_FIXTURE_TEST_CASE(StreamThatHasBegunGoesBeforeNewRequestsOfItsRank, CoordinatorFixture) {
+  coordinator.RequestScheduler().RemoveBackend(BackendId("b"));
+  coordinator.RequestScheduler().SetBackend(MakeBackend("a", kOld, 1), nullptr);
+  BeginStream();
+  SubmitAndDecide(MakeRequest("running"));
+  BOOST_REQUIRE(decisions.grants.size() == 1U);
+  std::vector requests{MakeRequest("new"), MakeTakenUp("taken up", kStream), MakeRequest("urgent")};
+  requests[0].rank = requests[1].rank = requests[2].rank + 1;
+  requests[1].arrived += kInstant;
+  for (const RequestInfo& request : requests) coordinator.Submit(request, kStart);
+  Decide();
+  const auto granted_next = [&](const std::string& last) {
+    coordinator.ReleaseRun(AttemptId(last), {}, kStart);
+    Decide();
+    return decisions.grants.empty() ? "" : decisions.grants[0].id.Text();
+  };
+  BOOST_TEST(granted_next("running") == "urgent");
+  BOOST_TEST(granted_next("urgent") == "taken up");
+  BOOST_TEST(granted_next("taken up") == "new");
+}
+
 // Guards against a request that waits without end for a view that is not confirmed, or for one that
 // shows two versions, and against one that is decided after its caller has left.
 BOOST_FIXTURE_TEST_CASE(WaitForAConfirmedViewIsBounded, CoordinatorFixture) {
