Confirm the end of a response that ends with its connection

Callers saw streams that ended as complete before their last event (ORDER), where the backend server's process was killed. Cause: a response without a length or chunks ends with its connection, and the system closes the connections of a killed process like those of one that has ended. Class: an orderly end of a connection taken as a proof of a whole response. Change: if the request may run again, or is a stream, the instance connects to the backend server again before it delivers the end, and keeps the connection. If that fails, the run counts as lost: the stream goes on elsewhere after its last event. Servers that leave are not asked. Before and after: gateway-response-end-test, StreamOfKilledServerGoesOnElsewhere and IdempotentRequestOfKilledServerRunsElsewhere, failed (1 of 1 run) and pass; the three cases of ends that are no crash pass on both. That this was the cause on the users' machines is suspected, not shown.

--- a/src/gateway/call/call-outcome.cc
+++ b/src/gateway/call/call-outcome.cc
@@ -7,6 +7,7 @@
 
 // How long a leaving backend server gets no work from any instance, unless it starts again.
 constexpr Millis kLeavingAvoidDuration{60'000};
+constexpr int kNoContent = 204;
 
 }  // namespace
 
@@ -35,6 +36,23 @@
              {{"object", m_backend_id.Text()}, {"reason", "its load report cannot be read"}});
 }
 
+bool Call::EndsWithConnection() const {
+  return !m_response_head.content_length && !m_response_head.is_chunked &&
+         m_response_head.status != kNoContent && m_exchange->Head().method != "HEAD";
+}
+
+void Call::ConfirmEnd() {
+  const bool may_repeat = m_route->is_stream || (m_route->IsRetryable() && !HasResponseStarted());
+  const Backend* backend = m_context.routing_state.FindBackend(m_backend_id);
+  // One that leaves may accept no connections while its last responses end.
+  if (!may_repeat || backend == nullptr || !MaySendTo(*backend)) return DeliverResponse();
+  m_context.pool.Probe(backend->address, [self = shared_from_this()](bool is_connected) {
+    if (self->m_state != State::kSent && self->m_state != State::kResponding) return;
+    if (!is_connected) return self->OnRunFailed(kConnectionLost);
+    self->DeliverResponse();
+  });
+}
+
 void Call::Finish(const char* outcome, int status, const char* reason) {
   // The end of the response may have closed the connection, which ends the call as well.
   if (m_state == State::kEnded) return;
--- a/src/gateway/call/call.cc
+++ b/src/gateway/call/call.cc
@@ -38,8 +38,6 @@
 // Fewer gaps are not a reliable estimate of the backend server's speed.
 constexpr std::size_t kMinGapSamples = 4;
 
-constexpr char kConnectionLost[] = "connection_lost";
-
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
@@ -406,6 +404,12 @@
   if (response.is_not_run) return OnNotRun();
   if (!response.has_id || (IsSuccess(status) && !response.has_signature))
     return OnRunFailed("unsigned_reply");
+  if (IsSuccess(status) && EndsWithConnection()) return ConfirmEnd();
+  DeliverResponse();
+}
+
+void Call::DeliverResponse() {
+  const int status = m_response_head.status;
   if (IsStreamSuccess()) {
     if (m_event_splitter.PartialBytes() != 0) return OnRunFailed("partial_event");
     ReleaseRun(RunOutcome::kCompleted);
--- a/src/gateway/call/call.h
+++ b/src/gateway/call/call.h
@@ -32,6 +32,8 @@
 /// Upper bound on the duration of a call; the caller's deadline or the route's timeout may be
 /// lower.
 inline constexpr Millis kMaxCallDuration{60'000};
+/// Reason of runs that failed because their connections ended.
+inline constexpr char kConnectionLost[] = "connection_lost";
 
 /// Dependencies that all calls of an instance share.
 struct CallContext {
@@ -122,6 +124,13 @@
   void CountHeldBytes();
   /// Ends the run, to release what the instance has no memory for.
   void OnOverMemoryLimit();
+  /// @return true if only the end of its connection shows where the response ends
+  bool EndsWithConnection() const;
+  /// Delivers a response that ended with its connection if its backend server still accepts
+  /// connections, since those of a process that was killed end in the same way. Without this check
+  /// if the request may not run again.
+  void ConfirmEnd();
+  void DeliverResponse();
   /// Handles a response which states that the backend server did not run the request.
   void OnNotRun();
   void OnRunFailed(const std::string& reason);
