Keep a stated limit when a response that was begun before it ends

Backend servers that fail when they turn away too many requests fell over shortly after they had stated their limit. Cause: a response without the number withdraws it, also one that was begun before the number was stated and ended later. A late response with an older, higher number raised the limit in the same way. Change: each instance keeps when the present number was first stated to it. A response to a request that was sent before says nothing that allows more. A lower number still counts at once. The number that goes with a report of a rejection is the one kept.

--- a/src/gateway/call/call-outcome.cc
+++ b/src/gateway/call/call-outcome.cc
@@ -23,12 +23,12 @@
     LogEvent(EventId::kBackendChanged, {{"backend", m_backend_id.Text()}, {"state", "busy"}});
   const bool was_rejected = response.is_not_run && !response.is_wrong_backend;
   // Another backend server says nothing about this one.
-  const bool is_changed =
-      !response.is_wrong_backend &&
-      m_context.backend_notices.SetRejectionLimit(m_backend_start, response.rejection_limit_per_s);
-  if (is_changed || (was_rejected && response.rejection_limit_per_s))
-    m_context.dispatcher.ReportRejections(m_backend_id,
-                                          {response.rejection_limit_per_s, was_rejected});
+  const bool is_changed = !response.is_wrong_backend &&
+                          m_context.backend_notices.SetRejectionLimit(
+                              m_backend_start, response.rejection_limit_per_s, m_sent_at, now);
+  const auto limit = m_context.backend_notices.RejectionLimit(m_backend_start);
+  if (is_changed || (was_rejected && limit))
+    m_context.dispatcher.ReportRejections(m_backend_id, {limit, was_rejected});
   if (!response.has_invalid_load) return;
   m_context.metrics.IncrementCounter("gateway_invalid_load_reports", "");
   if (m_context.backend_notices.SetInvalidLoad(m_backend_start))
--- a/src/gateway/state/backend-notices.h
+++ b/src/gateway/state/backend-notices.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <utility>
 
 #include "bluebellpass/gateway/model.h"
 
@@ -23,15 +22,33 @@
   bool SetBusy(const BackendStart& backend, Millis retry_after, TimePoint now) {
     return Hold(backend, std::min(retry_after, kMaxBusyHold), now);
   }
-  /// Records how many requests the backend server can turn away in a second.
-  /// @return true if it has said otherwise before, or nothing since ForgetRejectionLimits
-  bool SetRejectionLimit(const BackendStart& backend, std::optional<int> per_second) {
+  /// Records how many requests the backend server can turn away in a second, from a response.
+  /// @param per_second nullopt if the response states no number
+  /// @param sent_at when the request was sent
+  /// @return true if RejectionLimit has changed, or is known again since ForgetRejectionLimits
+  bool SetRejectionLimit(const BackendStart& backend, std::optional<int> per_second,
+                         TimePoint sent_at, TimePoint now) {
+    const auto known = m_rejection_limits.find(backend);
+    if (known != m_rejection_limits.end()) {
+      const StatedLimit& limit = known->second;
+      if (per_second == limit.per_second) return false;
+      // The response may have begun before the present number was stated.
+      const bool allows_more = !per_second || *per_second > limit.per_second;
+      if (allows_more && sent_at <= limit.stated_at) return false;
+    }
     if (!per_second) return m_rejection_limits.erase(backend) != 0;
     std::erase_if(m_rejection_limits, [&](const auto& entry) {
       return entry.first.id == backend.id && entry.first != backend;
     });
-    const auto [found, is_new] = m_rejection_limits.try_emplace(backend, *per_second);
-    return is_new || std::exchange(found->second, *per_second) != *per_second;
+    m_rejection_limits.insert_or_assign(backend, StatedLimit{*per_second, now});
+    return true;
+  }
+  /// @return how many requests the backend server can turn away in a second, or nullopt if it
+  /// states no number
+  std::optional<int> RejectionLimit(const BackendStart& backend) const {
+    const auto found = m_rejection_limits.find(backend);
+    return found == m_rejection_limits.end() ? std::nullopt
+                                             : std::optional(found->second.per_second);
   }
   /// A new coordinator is to be told of all.
   void ForgetRejectionLimits() { m_rejection_limits.clear(); }
@@ -71,6 +88,11 @@
   // Bound on the memory for backend servers that have left since.
   static constexpr std::size_t kMaxInvalidLoads = 4'000;
 
+  struct StatedLimit {
+    int per_second = 0;
+    TimePoint stated_at;  ///< first response with this number
+  };
+
   bool Hold(const BackendStart& backend, Millis duration, TimePoint now) {
     std::erase_if(m_held_until, [&](const auto& entry) {
       return entry.second <= now || (entry.first.id == backend.id && entry.first != backend);
@@ -81,7 +103,7 @@
   }
 
   std::map<BackendStart, TimePoint> m_held_until;
-  std::map<BackendStart, int> m_rejection_limits;    ///< per second
+  std::map<BackendStart, StatedLimit> m_rejection_limits;
   std::map<BackendId, BackendStart> m_invalid_load;  ///< starts whose invalid reports are known
 };
 
--- a/test/gateway-brittle-test.cc
+++ b/test/gateway-brittle-test.cc
@@ -20,6 +20,7 @@
 constexpr std::size_t kAnnouncingCalls = 8;
 constexpr int kSlots = 8;
 constexpr Millis kResponseDelay{300};
+constexpr Millis kLateResponseDelay{2'500};
 constexpr Millis kBurstPeriod{250};
 constexpr Millis kPatience{60};
 constexpr int kBursts = 24;
@@ -160,4 +161,24 @@
   BOOST_TEST(served >= kBursts * kBurstSize / 4 * 9 / 10);
 }
 
+// Guards against responses that were begun before the limit was stated, and withdraw it when they
+// come.
+BOOST_FIXTURE_TEST_CASE(LateResponsesDoNotWithdrawTheLimit, Fixture) {
+  Start(1);
+  for (const auto& engine : engines) engine->SetResponseDelay(kLateResponseDelay);
+  std::vector<std::unique_ptr<PendingCall>> late(kAnnouncingCalls);
+  for (auto& call : late) call = Call();
+  RunFor(kResponseDelay);
+  for (const auto& engine : engines) {
+    engine->SetResponseDelay(kResponseDelay);
+    engine->SetBrittle(1);
+  }
+  Announce();
+  RunFor(kLateResponseDelay);
+  for (const auto& call : late) BOOST_TEST(call->Status() == 200);
+  SendBursts();
+  CheckLimit("limit 1, stated before late responses");
+  BOOST_TEST(FallCount() == 0);
+}
+
 }  // namespace bluebellpass::test
