Test that the rejection limits of backend servers are kept apart

Only limits of a single backend server were tested on the scheduler. Test: four backend servers of one service; two state different limits, one withdraws its limit, one states it late. Then one is turned away more than the others, and one starts again.

--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -436,6 +436,62 @@
   BOOST_TEST(granted == 4U);
 }
 
+// Guards against a limit that holds for another backend server of the service, at any time.
+BOOST_FIXTURE_TEST_CASE(RejectionLimitsOfBackendsAreKeptApart, Fixture) {
+  const std::vector<BackendId> ids{BackendId("a"), BackendId("b"), BackendId("c"), BackendId("d")};
+  for (const BackendId& id : ids)
+    scheduler.SetBackend(BackendOf(id.Text(), "chat", 8), &engine_service);
+  int request_count = 0;
+  std::vector<Grant> grants;
+  // Numbers of runs by backend server, after a decision about more requests than slots.
+  const auto running_after_decision = [&](TimePoint now) {
+    for (int i = 0; i < 40; ++i) {
+      RequestInfo request = RequestOf("w" + std::to_string(++request_count), 0, 10, 10);
+      request.arrived = now;
+      request.deadline = now + Millis{15'000};
+      scheduler.AddRequest(request);
+    }
+    Decide(now);
+    grants.insert(grants.end(), decisions.grants.begin(), decisions.grants.end());
+    std::vector<int> running;
+    for (const BackendId& id : ids) running.push_back(scheduler.RunningOn(id));
+    return running;
+  };
+  // Ends runs that were granted until now.
+  const auto finish_all = [&](TimePoint now) {
+    for (const Grant& grant : grants) {
+      scheduler.RecordFirstEvent(grant.id, Millis{10}, now);
+      scheduler.ReleaseRun(grant.id, RunReport{RunOutcome::kCompleted, {}, {}}, now);
+    }
+    grants.clear();
+  };
+  scheduler.RecordRejections(ids[0], {1, false}, kStart);
+  scheduler.RecordRejections(ids[1], {5, false}, kStart);
+  scheduler.RecordRejections(ids[2], {2, false}, kStart);
+  BOOST_TEST((running_after_decision(kStart) == std::vector{1, 5, 2, 8}));
+  // The third withdraws its limit.
+  scheduler.RecordRejections(ids[2], {std::nullopt, false}, kStart);
+  BOOST_TEST((running_after_decision(kStart) == std::vector{1, 5, 8, 8}));
+  // The fourth states one while it has more runs than that, and gets no more until they end.
+  scheduler.RecordRejections(ids[3], {3, false}, kStart);
+  BOOST_TEST((running_after_decision(kStart) == std::vector{1, 5, 8, 8}));
+  TimePoint now = kStart + Millis{100};
+  finish_all(now);
+  BOOST_TEST((running_after_decision(now) == std::vector{1, 5, 8, 3}));
+  // What one turns away counts for that one alone.
+  finish_all(now);
+  scheduler.RecordRejections(ids[1], {5, true}, now);
+  scheduler.RecordRejections(ids[1], {5, true}, now);
+  scheduler.RecordRejections(ids[3], {3, true}, now);
+  BOOST_TEST((running_after_decision(now) == std::vector{1, 3, 8, 2}));
+  // A limit ends with the start of the backend server that stated it.
+  finish_all(now);
+  Backend next_start = BackendOf("b", "chat", 8);
+  next_start.started_at = 1;
+  scheduler.SetBackend(next_start, &engine_service);
+  BOOST_TEST((running_after_decision(now) == std::vector{1, 8, 8, 2}));
+}
+
 // Guards against occupying scarce slots with runs that will be cut off at their deadline.
 BOOST_FIXTURE_TEST_CASE(RequestThatWouldMissItsDeadlineGetsNoScarceSlot, Fixture) {
   scheduler.SetBackend(BackendOf("a", "chat", 1), &engine_service);
