Test that stranded instances serve no callers

No unit test showed that directories and forwarding leave out instances that reach no backend server, that directories name them if all are so, that the others learn of it, or that the codec carries it; only gateway-stranded-test, with processes, did in part. Change: three tests in gateway-election-test and one of the states of a member in gateway-fleet-codec-test.

--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -10,7 +10,8 @@
 #include "raw-server.h"
 #include "standins/proxy.h"
 
-/// Which instance coordinates, as an instance decides it from what it knows of the others.
+/// Which instance coordinates, as an instance decides it from what it knows of the others, and
+/// which instances serve its callers.
 
 namespace bluebellpass::gateway {
 namespace {
@@ -19,10 +20,18 @@
 constexpr std::uint64_t kMemberCount = 200;
 // Longer than the pause after a failed dial, so that the link does not count as one.
 constexpr Millis kLastingLink{2'000};
+constexpr std::size_t kMaxNamed = 8;
+constexpr int kForwardedRequests = 100;
+using Revisions = std::set<std::uint64_t>;
+
+Address CallerAddressOf(std::uint64_t revision) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(revision)};
+}
 
 FleetMember MemberOf(const std::string& id, std::uint64_t revision, double processor_share = 0.25) {
   FleetMember member;
   member.id = InstanceId(id);
+  member.caller_address = CallerAddressOf(revision);
   member.registration_revision = revision;
   member.processor_share = processor_share;
   return member;
@@ -50,7 +59,7 @@
     FleetOptions options;
     options.id = InstanceId(id);
     options.incarnation = Incarnation(1);
-    options.caller_address = {"127.0.0.1", 1};
+    options.caller_address = CallerAddressOf(revision);
     options.peer_address = address;
     options.processor_share = 0.25;
     return options;
@@ -64,6 +73,26 @@
     member.peer_address = peer;
     fleet.AddMember(member);
   }
+  void KnowStranded(const std::string& id, std::uint64_t registered) {
+    FleetMember member = MemberOf(id, registered);
+    member.has_lost_backends = true;
+    fleet.AddMember(member);
+  }
+  /// @return the instances that callers are told, by the revisions of their registrations
+  Revisions NamedToCallers() const {
+    Revisions named;
+    for (const Address& caller : fleet.CallerAddresses(DataCentre(), kMaxNamed))
+      named.insert(caller.port);
+    return named;
+  }
+  /// @return the instances that requests are forwarded to, likewise
+  Revisions ForwardedTo() const {
+    Revisions chosen;
+    for (int i = 0; i < kForwardedRequests; ++i)
+      if (const auto peer = fleet.ChoosePeer(AttemptId("r" + std::to_string(i)), {}))
+        chosen.insert(peer->port);
+    return chosen;
+  }
   std::string CoordinatorName() const {
     return fleet.CoordinatorId() == nullptr ? "" : fleet.CoordinatorId()->Text();
   }
@@ -252,4 +281,55 @@
   BOOST_TEST(messages <= 2U);
 }
 
+// Guards against callers who are sent to an instance that reaches no backend server, and against
+// requests that are forwarded to it.
+BOOST_FIXTURE_TEST_CASE(StrandedInstancesServeNoCallers, Fixture) {
+  TestInstance instance(loop, "a", 1);
+  instance.Know("b", 2, {});
+  instance.Know("c", 3, {});
+  instance.KnowStranded("d", 4);
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1, 2, 3}));
+  BOOST_TEST((instance.ForwardedTo() == Revisions{2, 3}));
+  instance.fleet.SetLostBackends(true);
+  BOOST_TEST((instance.NamedToCallers() == Revisions{2, 3}));
+  instance.fleet.SetLostBackends(false);
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1, 2, 3}));
+}
+
+// Guards against empty directories, which leave callers without any instance.
+BOOST_FIXTURE_TEST_CASE(AllAreNamedIfAllAreStranded, Fixture) {
+  TestInstance instance(loop, "a", 1);
+  instance.fleet.SetLostBackends(true);
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1}));
+  instance.KnowStranded("b", 2);
+  instance.KnowStranded("c", 3);
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1, 2, 3}));
+  BOOST_TEST(instance.ForwardedTo().empty());
+  instance.Know("d", 4, {});
+  BOOST_TEST((instance.NamedToCallers() == Revisions{4}));
+  BOOST_TEST((instance.ForwardedTo() == Revisions{4}));
+}
+
+// Guards against a lost path, or one that has come back, of which some instances do not learn.
+BOOST_FIXTURE_TEST_CASE(LostPathIsToldToAll, Fixture) {
+  TestInstance coordinator(loop, "a", 1);
+  TestInstance stranded(loop, "b", 2);
+  TestInstance other(loop, "c", 3);
+  coordinator.Start();
+  for (TestInstance* follower : {&stranded, &other}) {
+    follower->Know("a", 1, coordinator.address);
+    follower->Start();
+  }
+  const auto are_named = [&](const Revisions& expected) {
+    return coordinator.NamedToCallers() == expected && other.NamedToCallers() == expected;
+  };
+  BOOST_REQUIRE(RunUntil([&] { return are_named({1, 2, 3}); }));
+  stranded.fleet.SetLostBackends(true);
+  BOOST_TEST(RunUntil([&] { return are_named({1, 3}); }));
+  stranded.fleet.SetLostBackends(false);
+  BOOST_TEST(RunUntil([&] { return are_named({1, 2, 3}); }));
+  coordinator.fleet.SetLostBackends(true);
+  BOOST_TEST(RunUntil([&] { return are_named({2, 3}); }));
+}
+
 }  // namespace bluebellpass::gateway
--- a/test/gateway-fleet-codec-test.cc
+++ b/test/gateway-fleet-codec-test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <tuple>
 
 #include "gateway/fleet/fleet-codec.h"
 
@@ -165,6 +166,25 @@
   BOOST_TEST(piece.bytes == std::string("a\0b", 3));
 }
 
+// Guards against a stranded instance that others take for one without the store or one that leaves.
+BOOST_AUTO_TEST_CASE(StatesOfMembersRoundTrip) {
+  for (bool FleetMember::*const state :
+       {&FleetMember::is_alive, &FleetMember::is_leaving, &FleetMember::has_lost_store,
+        &FleetMember::has_lost_backends, &FleetMember::is_removed}) {
+    FleetMember member;
+    member.id = InstanceId("i");
+    member.*state = true;
+    const MembersMessage decoded = RoundTrip(MembersMessage{{member, FleetMember{}}});
+    BOOST_REQUIRE(decoded.members.size() == 2U);
+    const auto states = [](const FleetMember& of) {
+      return std::tuple(of.is_alive, of.is_leaving, of.has_lost_store, of.has_lost_backends,
+                        of.is_removed);
+    };
+    BOOST_TEST((states(decoded.members[0]) == states(member)));
+    BOOST_TEST((states(decoded.members[1]) == states(FleetMember{})));
+  }
+}
+
 // Guards against the same, and against crashes on malformed bytes, in the content of a transfer.
 BOOST_AUTO_TEST_CASE(StateContentRoundTrip) {
   StateContent content;
