Keep what members have told when they are listed again

An instance that reads the list of registered instances again, as all do after the store was restored, forgot which of them reach no backend server: it forwarded requests to these and named them to callers until they told of a change. A coordinator told its followers so too. Members that stop, or have lost the store, were taken for ones that do not, and were waited for in the election. Cause: AddMember merges the entry of the store, which does not say these, as if the member had told it. Found by reading. Change: they are kept if the registration has the same number, whatever its era. A new registration resets them, as before. Before and after: gateway-election-test, ListedAgainMembersStayStranded, RestoredRegistrationsStayStranded and ListedAgainMembersAreNotElected (new) failed (1 of 1 run) and pass (1 of 1); NewRegistrationIsNotStranded (new) passes on both.

--- a/src/gateway/fleet/fleet-members.cc
+++ b/src/gateway/fleet/fleet-members.cc
@@ -58,6 +58,14 @@
 }
 
 void Fleet::AddMember(FleetMember member) {
+  // Only the member itself tells these. A restored store states a later era for a registration.
+  const auto known = m_members.find(member.id);
+  if (known != m_members.end() && NumberOf(Revision(known->second.registration_revision)) ==
+                                      NumberOf(Revision(member.registration_revision))) {
+    member.is_leaving = known->second.is_leaving;
+    member.has_lost_store = known->second.has_lost_store;
+    member.has_lost_backends = known->second.has_lost_backends;
+  }
   MergeMembers(MembersMessage{{std::move(member)}}, false);
   if (m_is_started) ElectCoordinator();
 }
--- a/src/gateway/fleet/fleet.h
+++ b/src/gateway/fleet/fleet.h
@@ -75,7 +75,8 @@
   void SetKeys(std::vector<std::string> keys);
   /// Sets the store revision of this instance's registration.
   void SetRegistration(std::uint64_t revision);
-  /// Adds an instance that is registered in the store.
+  /// Adds an instance that is registered in the store, or updates its registration. What it has
+  /// told of itself under the same registration is kept.
   void AddMember(FleetMember member);
   /// Tells the other instances that this one stops, and yields the coordinator's role.
   void Leave();
--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -332,4 +332,63 @@
   BOOST_TEST(RunUntil([&] { return are_named({2, 3}); }));
 }
 
+// Guards against a list of the registered instances, as it is read again after the store was
+// restored, that replaces what they have told themselves.
+BOOST_FIXTURE_TEST_CASE(ListedAgainMembersStayStranded, Fixture) {
+  TestInstance coordinator(loop, "a", 1);
+  TestInstance stranded(loop, "b", 2);
+  TestInstance other(loop, "c", 3);
+  coordinator.Start();
+  for (TestInstance* follower : {&stranded, &other}) {
+    follower->Know("a", 1, coordinator.address);
+    follower->Start();
+  }
+  stranded.fleet.SetLostBackends(true);
+  const auto are_named = [&](const Revisions& expected) {
+    return coordinator.NamedToCallers() == expected && other.NamedToCallers() == expected;
+  };
+  BOOST_REQUIRE(RunUntil([&] { return are_named({1, 3}); }));
+  other.Know("b", 2, stranded.address);
+  BOOST_TEST((other.NamedToCallers() == Revisions{1, 3}));
+  BOOST_TEST((other.ForwardedTo() == Revisions{1}));
+  coordinator.Know("b", 2, stranded.address);
+  BOOST_TEST((coordinator.NamedToCallers() == Revisions{1, 3}));
+  BOOST_TEST(!RunUntil([&] { return !are_named({1, 3}); }, Millis{300}));
+}
+
+// Guards against the same if the store states another era for the registration that it has kept.
+BOOST_FIXTURE_TEST_CASE(RestoredRegistrationsStayStranded, Fixture) {
+  TestInstance instance(loop, "a", 1);
+  instance.KnowStranded("b", 2);
+  const std::uint64_t restored = MakeRevision(StoreEra(1), 2).Value();
+  instance.Know("b", restored, {});
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1}));
+  BOOST_TEST(instance.ForwardedTo().empty());
+}
+
+// Guards against a restarted instance that is taken for the stranded one it was.
+BOOST_FIXTURE_TEST_CASE(NewRegistrationIsNotStranded, Fixture) {
+  TestInstance instance(loop, "a", 1);
+  instance.KnowStranded("b", 2);
+  instance.Know("b", 3, {});
+  BOOST_TEST((instance.NamedToCallers() == Revisions{1, 3}));
+  BOOST_TEST((instance.ForwardedTo() == Revisions{3}));
+}
+
+// Guards against an instance that is elected or called again after it has told that it stops or has
+// lost the store, because its registration was listed once more.
+BOOST_FIXTURE_TEST_CASE(ListedAgainMembersAreNotElected, Fixture) {
+  for (bool FleetMember::*const state : {&FleetMember::is_leaving, &FleetMember::has_lost_store}) {
+    RawServer first(loop);
+    TestInstance instance(loop, "b", 2);
+    FleetMember member = MemberOf("a", 1);
+    member.peer_address = first.address;
+    member.*state = true;
+    instance.fleet.AddMember(member);
+    instance.Know("a", 1, first.address);
+    instance.Start();
+    BOOST_TEST(instance.CoordinatorName() == "b");
+  }
+}
+
 }  // namespace bluebellpass::gateway
