--- a/test/gateway-scheduler-test.cc
+++ b/test/gateway-scheduler-test.cc
@@ -454,6 +454,7 @@
     Decide(now);
     grants.insert(grants.end(), decisions.grants.begin(), decisions.grants.end());
     std::vector<int> running;
+    running.reserve(ids.size());
     for (const BackendId& id : ids) running.push_back(scheduler.RunningOn(id));
     return running;
   };
