Count a stream that has begun as on time

Change: the lateness counts only for requests without a first event. Before and after: gateway-streams-test, StreamThatHasBegunGoesBeforeNewRequestsOfItsRank, with a caller that has waited for its objective, failed (1 of 1 run) and passes.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -250,7 +250,9 @@
     // route would get all slots under overload.
     const double slot_time_ms =
         capacity.is_plain ? capacity.load->SlotTimeMs() : waiting->slot_time_ms;
-    const double score = waiting->value / slot_time_ms * (is_late ? kLateValueFactor : 1);
+    // The caller of a stream that has begun has its first events.
+    const bool has_late_value = is_late && !waiting->request.version;
+    const double score = waiting->value / slot_time_ms * (has_late_value ? kLateValueFactor : 1);
     ranked.push_back({waiting, score, 1, is_late});
   }
   // Requests of plain services state no size.
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -165,7 +165,7 @@
 ///
 /// - The queue is ordered by value per unit of slot time, where the value falls with rank and grows
 ///   with size. This handles loads under which slots are short for seconds. Streams that have begun
-///   go before new requests of their rank, since a refusal would waste their runs so far.
+///   count twice the value and as on time, since a refusal would waste their runs so far.
 /// - Within a kind, requests of a size group that is served much less often than the kind go first
 ///   until the group has caught up. This handles sustained overload.
 /// - A long prompt does not start on a backend server where its prefill would stretch the event
--- a/test/gateway-streams-test.cc
+++ b/test/gateway-streams-test.cc
@@ -428,6 +428,8 @@
   std::vector requests{MakeRequest("new"), MakeTakenUp("taken up", kStream), MakeRequest("urgent")};
   requests[0].rank = requests[1].rank = requests[2].rank + 1;
   requests[1].arrived += kInstant;
+  // It has been interrupted for longer than its objective.
+  requests[1].caller_age = requests[1].latency_objective;
   for (const RequestInfo& request : requests) coordinator.Submit(request, kStart);
   Decide();
   const auto granted_next = [&](const std::string& last) {
