Let requests wait for the first list of backend servers

Change: it joins as before. While it coordinates and has no list yet, requests for services without backend servers wait for at most 2 s instead of being refused at once.

--- a/src/gateway/decisions/scheduler-decide.cc
+++ b/src/gateway/decisions/scheduler-decide.cc
@@ -528,6 +528,11 @@
     std::erase_if(queue, [&](const WaitingRequest* waiting) {
       const auto& version = waiting->request.version;
       if (version && HasVersion(service, *version, now)) return false;
+      const TimePoint refused_at = waiting->request.arrived + kMaxListWait;
+      if (m_is_listing && now < refused_at) {
+        DecideBy(refused_at);
+        return true;
+      }
       Refuse(*waiting, RefusalReason::kNoBackend, kNoBackendRetryAfter,
              {queue_size, 0, 0, 0, waiting->size, 1}, decisions);
       return true;
--- a/src/gateway/decisions/scheduler.h
+++ b/src/gateway/decisions/scheduler.h
@@ -193,6 +193,9 @@
  public:
   /// Sets the roll-outs that restrict which versions of backend servers may be used; may be null.
   void SetRollouts(RolloutController* rollouts) { m_rollouts = rollouts; }
+  /// Says whether the backend servers are still being listed. Meanwhile requests for services
+  /// without any wait for a time before they are refused.
+  void SetListing(bool is_listing) { m_is_listing = is_listing; }
   /// Sets the share of each backend server's slots that this scheduler may grant.
   /// @param index position of this scheduler among those that share the slots
   /// @param count number of schedulers that share the slots
@@ -432,6 +435,9 @@
   void DecideBy(TimePoint at);
 
   RolloutController* m_rollouts = nullptr;
+  /// Longer than a call to the store that gets no response, and its repetition.
+  static constexpr Millis kMaxListWait{2'000};
+  bool m_is_listing = false;
   std::size_t m_share_index = 0;
   std::size_t m_share_count = 1;
   std::map<BackendId, TrackedBackend> m_backends;
--- a/src/gateway/gateway-backends.cc
+++ b/src/gateway/gateway-backends.cc
@@ -32,7 +32,7 @@
     LogEvent(EventId::kBackendsListed,
              {{"count", static_cast<std::int64_t>(m_routing_state.Backends().size())},
               {"revision", static_cast<std::int64_t>(NumberOf(m_backend_watch->SeenRevision()))}});
-  JoinFleetIfReady();
+  m_coordinator.RequestScheduler().SetListing(false);
   m_fleet.ScheduleDecision();
 }
 
--- a/src/gateway/gateway-membership.cc
+++ b/src/gateway/gateway-membership.cc
@@ -93,10 +93,7 @@
 }
 
 void Gateway::JoinFleetIfReady() {
-  // A coordinator without backend servers would refuse all requests.
-  if (m_fleet.IsStarted() || m_link_keys.empty() || !m_has_listed_instances ||
-      !m_has_listed_backends)
-    return;
+  if (m_fleet.IsStarted() || m_link_keys.empty() || !m_has_listed_instances) return;
   const Result<Ok> started = m_fleet.Start(m_link_keys);
   if (!IsOk(started)) {
     // A previous process may still hold the port.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -269,6 +269,7 @@
 }
 
 void Gateway::StartWatches() {
+  m_coordinator.RequestScheduler().SetListing(true);
   WatchOptions options;
   options.max_wait = kMaxWatchWait;
   ObjectWatch::Events config_events;
