Apply responses to watch calls in one place, and count lost paths once

Refresh repeated how a watch call's response is applied, and PathMonitor repeated the number of failures after which BackendPaths takes the own path for lost. ObjectWatch::ApplyPage and BackendPaths::kStrandedFailures now serve both; nothing else changes. Result: gateway-knowledge-test, gateway-relay-test and gateway-paths-test pass.

--- a/src/gateway/state/backend-paths.cc
+++ b/src/gateway/state/backend-paths.cc
@@ -5,9 +5,6 @@
 namespace bluebellpass::gateway {
 namespace {
 
-// Backend servers that fail one after the other, without a connection to another one in between,
-// before the own path counts as lost. Fewer may crash at the same time.
-constexpr std::size_t kStrandedFailures = 3;
 // A connection says nothing about failures longer ago: the path may have been lost meanwhile.
 constexpr Millis kMaxExplainedAge{1'500};
 // Connections that break within this time may have broken together.
--- a/src/gateway/state/backend-paths.h
+++ b/src/gateway/state/backend-paths.h
@@ -14,6 +14,10 @@
 /// this instance has reached another one since. Performs no I/O and reads no clock.
 class BackendPaths {
  public:
+  /// Backend servers that fail one after the other, without a connection to another one in between,
+  /// before the own path counts as lost. Fewer may crash at the same time.
+  static constexpr std::size_t kStrandedFailures = 3;
+
   /// Records an established connection.
   /// @return backend servers whose connections failed shortly before by faults of their own
   std::vector<BackendId> RecordConnected(const BackendId& id, TimePoint now);
--- a/src/gateway/state/object-watch.cc
+++ b/src/gateway/state/object-watch.cc
@@ -91,10 +91,8 @@
   }
   const ObjectPage& page = std::get<ObjectPage>(result);
   OnSuccess();
-  ApplyChanges(page.objects, page.revision < m_revision);
-  SetRevision(std::max(m_revision, page.revision));
+  ApplyPage(page);
   if (!page.objects.empty()) {
-    if (m_events.on_batch) m_events.on_batch();
     // There may be later changes already, so only the time of sending is confirmed.
     SetConfirmed(sent_at);
     return ScheduleNextCall(m_options.coalesce_delay);
@@ -117,6 +115,12 @@
   std::erase_if(m_deletions, [&](const auto& item) { return item.second <= revision; });
 }
 
+void ObjectWatch::ApplyPage(const ObjectPage& page) {
+  ApplyChanges(page.objects, page.revision < m_revision);
+  SetRevision(std::max(m_revision, page.revision));
+  if (!page.objects.empty() && m_events.on_batch) m_events.on_batch();
+}
+
 void ObjectWatch::ApplyChanges(const std::vector<StoredObject>& objects, bool is_older) {
   for (const StoredObject& object : objects) {
     const auto known = m_revisions.find(object.name);
@@ -195,10 +199,7 @@
     m_next_refresh = m_clock.Now() + m_options.initial_backoff;
     return;
   }
-  const ObjectPage& page = std::get<ObjectPage>(result);
-  ApplyChanges(page.objects, page.revision < m_revision);
-  SetRevision(std::max(m_revision, page.revision));
-  if (!page.objects.empty() && m_events.on_batch) m_events.on_batch();
+  ApplyPage(std::get<ObjectPage>(result));
   SetConfirmed(sent_at);
 }
 
--- a/src/gateway/state/object-watch.h
+++ b/src/gateway/state/object-watch.h
@@ -95,6 +95,8 @@
   void MakeNextCall();
   void OnWatchResponse(BootTime sent_at, Millis wait, Result<ObjectPage> result);
   /// @param is_older the view is complete up to a later revision than that of the objects' read
+  /// Applies the response to a watch call.
+  void ApplyPage(const ObjectPage& page);
   void ApplyChanges(const std::vector<StoredObject>& objects, bool is_older);
   void LogIgnored(const StoredObject& object, Revision known) const;
   /// @return true when an object that is not in the view was deleted after the given revision of it
--- a/src/gateway/state/path-monitor.cc
+++ b/src/gateway/state/path-monitor.cc
@@ -9,7 +9,6 @@
 // Without a byte from any backend server for this long after a request, the path is examined. A
 // single backend server that pauses is not enough, since others respond meanwhile.
 constexpr Millis kMaxSilence{400};
-constexpr std::size_t kVerifications = 3;
 constexpr Millis kStrandedProbePeriod{300};
 
 }  // namespace
@@ -68,7 +67,7 @@
 }
 
 void PathMonitor::Verify() {
-  while (m_paths.UnexplainedCount() + m_probed.size() < kVerifications) {
+  while (m_paths.UnexplainedCount() + m_probed.size() < BackendPaths::kStrandedFailures) {
     const std::size_t before = m_probed.size();
     ProbeNext();
     if (m_probed.size() == before) return;
