--- a/test/gateway-brittle-test.cc
+++ b/test/gateway-brittle-test.cc
@@ -13,7 +13,6 @@
 
 namespace names = platform::names;
 
-constexpr Millis kStartTimeout{10'000};
 constexpr Millis kSettleTime{1'500};
 constexpr int kEngines = 4;
 // Enough that each engine gets one.
@@ -66,10 +65,7 @@
     for (int i = 0; i < gateway_count; ++i) {
       gateways.push_back(
           std::make_unique<GatewayProcess>(folder, "g" + std::to_string(i), store_address));
-      gateways.back()->Start();
-      BOOST_REQUIRE(
-          RunUntil([&] { return Get(gateways.back()->ready, names::kReadyPath)->Status() == 200; },
-                   kStartTimeout));
+      StartGateway(*gateways.back());
     }
     RunFor(kSettleTime);
   }
--- a/test/gateway-election-test.cc
+++ b/test/gateway-election-test.cc
@@ -150,6 +150,25 @@
   }
 };
 
+/// Three instances, of which the first one coordinates.
+struct LinkedFixture : Fixture {
+  TestInstance coordinator{loop, "a", 1};
+  TestInstance stranded{loop, "b", 2};
+  TestInstance other{loop, "c", 3};
+
+  LinkedFixture() {
+    coordinator.Start();
+    for (TestInstance* follower : {&stranded, &other}) {
+      follower->Know("a", 1, coordinator.address);
+      follower->Start();
+    }
+  }
+  /// @return true if both the coordinator and the other follower name these instances to callers
+  bool AreNamed(const Revisions& expected) const {
+    return coordinator.NamedToCallers() == expected && other.NamedToCallers() == expected;
+  }
+};
+
 }  // namespace
 
 // Guards against a coordinator on a small instance while large ones run, since its work grows with
@@ -311,49 +330,27 @@
 }
 
 // Guards against a lost path, or one that has come back, of which some instances do not learn.
-BOOST_FIXTURE_TEST_CASE(LostPathIsToldToAll, Fixture) {
-  TestInstance coordinator(loop, "a", 1);
-  TestInstance stranded(loop, "b", 2);
-  TestInstance other(loop, "c", 3);
-  coordinator.Start();
-  for (TestInstance* follower : {&stranded, &other}) {
-    follower->Know("a", 1, coordinator.address);
-    follower->Start();
-  }
-  const auto are_named = [&](const Revisions& expected) {
-    return coordinator.NamedToCallers() == expected && other.NamedToCallers() == expected;
-  };
-  BOOST_REQUIRE(RunUntil([&] { return are_named({1, 2, 3}); }));
+BOOST_FIXTURE_TEST_CASE(LostPathIsToldToAll, LinkedFixture) {
+  BOOST_REQUIRE(RunUntil([&] { return AreNamed({1, 2, 3}); }));
   stranded.fleet.SetLostBackends(true);
-  BOOST_TEST(RunUntil([&] { return are_named({1, 3}); }));
+  BOOST_TEST(RunUntil([&] { return AreNamed({1, 3}); }));
   stranded.fleet.SetLostBackends(false);
-  BOOST_TEST(RunUntil([&] { return are_named({1, 2, 3}); }));
+  BOOST_TEST(RunUntil([&] { return AreNamed({1, 2, 3}); }));
   coordinator.fleet.SetLostBackends(true);
-  BOOST_TEST(RunUntil([&] { return are_named({2, 3}); }));
+  BOOST_TEST(RunUntil([&] { return AreNamed({2, 3}); }));
 }
 
 // Guards against a list of the registered instances, as it is read again after the store was
 // restored, that replaces what they have told themselves.
-BOOST_FIXTURE_TEST_CASE(ListedAgainMembersStayStranded, Fixture) {
-  TestInstance coordinator(loop, "a", 1);
-  TestInstance stranded(loop, "b", 2);
-  TestInstance other(loop, "c", 3);
-  coordinator.Start();
-  for (TestInstance* follower : {&stranded, &other}) {
-    follower->Know("a", 1, coordinator.address);
-    follower->Start();
-  }
+BOOST_FIXTURE_TEST_CASE(ListedAgainMembersStayStranded, LinkedFixture) {
   stranded.fleet.SetLostBackends(true);
-  const auto are_named = [&](const Revisions& expected) {
-    return coordinator.NamedToCallers() == expected && other.NamedToCallers() == expected;
-  };
-  BOOST_REQUIRE(RunUntil([&] { return are_named({1, 3}); }));
+  BOOST_REQUIRE(RunUntil([&] { return AreNamed({1, 3}); }));
   other.Know("b", 2, stranded.address);
   BOOST_TEST((other.NamedToCallers() == Revisions{1, 3}));
   BOOST_TEST((other.ForwardedTo() == Revisions{1}));
   coordinator.Know("b", 2, stranded.address);
   BOOST_TEST((coordinator.NamedToCallers() == Revisions{1, 3}));
-  BOOST_TEST(!RunUntil([&] { return !are_named({1, 3}); }, Millis{300}));
+  BOOST_TEST(!RunUntil([&] { return !AreNamed({1, 3}); }, Millis{300}));
 }
 
 // Guards against the same if the store states another era for the registration that it has kept.
--- a/test/gateway-process.h
+++ b/test/gateway-process.h
@@ -9,11 +9,14 @@
 #include "cluster/process.h"
 #include "kernel/http1-pool.h"
 #include "kernel/loop.h"
+#include "platform/names.h"
 
 /// Gateway processes for tests, and calls to them.
 
 namespace bluebellpass::test {
 
+constexpr Millis kGatewayStartTimeout{10'000};
+
 /// A response that may still arrive.
 struct PendingCall {
   std::unique_ptr<PooledCall> call;
@@ -87,6 +90,13 @@
   void RunFor(Millis duration) {
     RunUntil([] { return false; }, duration);
   }
+  /// Starts a gateway and waits until it is ready.
+  void StartGateway(GatewayProcess& gateway) {
+    gateway.Start();
+    BOOST_REQUIRE(
+        RunUntil([&] { return Get(gateway.ready, platform::names::kReadyPath)->Status() == 200; },
+                 kGatewayStartTimeout));
+  }
   std::unique_ptr<PendingCall> Send(const Address& address, const std::string& method,
                                     const std::string& target, std::vector<HttpField> fields,
                                     bool use_new_connection = true) {
--- a/test/gateway-response-end-test.cc
+++ b/test/gateway-response-end-test.cc
@@ -15,7 +15,6 @@
 namespace names = platform::names;
 using nlohmann::json;
 
-constexpr Millis kStartTimeout{10'000};
 constexpr Millis kStepTimeout{5'000};
 // Until a change of the registrations is read.
 constexpr Millis kReadTime{400};
@@ -33,9 +32,7 @@
                {"routes", {Route("stream"), Route("idempotent"), Route("mutating")}},
                {"services", {{{"name", "s"}}}}});
     Register("first", first->address, "ready");
-    gateway.Start();
-    BOOST_REQUIRE(RunUntil([&] { return Get(gateway.ready, names::kReadyPath)->Status() == 200; },
-                           kStartTimeout));
+    StartGateway(gateway);
   }
 
   static json Route(const std::string& type) {
--- a/test/gateway-stranded-test.cc
+++ b/test/gateway-stranded-test.cc
@@ -15,7 +15,6 @@
 
 namespace names = platform::names;
 
-constexpr Millis kStartTimeout{10'000};
 constexpr Millis kSettleTime{1'500};
 // After it the rule holds.
 constexpr Millis kStableWindow{3'000};
@@ -66,10 +65,7 @@
     for (std::size_t i = 0; i < 3; ++i) {
       gateways.push_back(std::make_unique<GatewayProcess>(
           folder, "g" + std::to_string(i), i == stranded ? replaced_store : store_address));
-      gateways.back()->Start();
-      BOOST_REQUIRE(
-          RunUntil([&] { return Get(gateways.back()->ready, names::kReadyPath)->Status() == 200; },
-                   kStartTimeout));
+      StartGateway(*gateways.back());
     }
     RunFor(kSettleTime);
   }
--- a/test/gateway-stream-version-test.cc
+++ b/test/gateway-stream-version-test.cc
@@ -19,7 +19,6 @@
 using nlohmann::json;
 
 constexpr char kResumes[] = "Resumes";
-constexpr Millis kStartTimeout{10'000};
 constexpr Millis kStepTimeout{5'000};
 // Until views are confirmed over the links, and long links count as such.
 constexpr Millis kSettleTime{2'000};
@@ -88,11 +87,7 @@
   }
   /// Starts gateways one after the other, so that the first one coordinates.
   void StartGateways() {
-    for (const auto& gateway : gateways) {
-      gateway->Start();
-      BOOST_REQUIRE(RunUntil(
-          [&] { return Get(gateway->ready, names::kReadyPath)->Status() == 200; }, kStartTimeout));
-    }
+    for (const auto& gateway : gateways) StartGateway(*gateway);
     RunFor(kSettleTime);
   }
   void KillGateway(std::size_t index) { gateways[index]->process.Kill(); }
@@ -193,20 +188,14 @@
         folder, "b", std::get<Address>(store_proxy.Listen({"127.0.0.1", 0})));
     gateways.pop_back();
     AddEngine("old", "1");
-    Start(0);
+    StartGateway(*gateways[0]);
     store.Put(names::kInstanceKind, "a",
               {{"data_centre", ""},
                {"caller_address", gateways[0]->front.Text()},
                {"peer_address", std::get<Address>(link_proxy.Listen({"127.0.0.1", 0})).Text()}});
-    Start(1);
+    StartGateway(*gateways[1]);
     RunFor(kSettleTime);
   }
-  void Start(std::size_t index) {
-    gateways[index]->Start();
-    BOOST_REQUIRE(
-        RunUntil([&] { return Get(gateways[index]->ready, names::kReadyPath)->Status() == 200; },
-                 kStartTimeout));
-  }
   /// Has the first instance, and over its link the second one, confirm its view anew.
   void ConfirmViews() {
     for (const int report : {2, 3}) {
